--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,11 +2,11 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "target/**", "**/node_modules/**"] },
     eslint.configs.recommended,
     ...tseslint.configs.recommended,
     {
-        files: ["packages/**/*.ts", "tools/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts", "tools/**/*.ts"],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
             "@typescript-eslint/naming-convention": [
--- a/packages/coordination/src/storage/open-log-storage.ts
+++ b/packages/coordination/src/storage/open-log-storage.ts
@@ -24,12 +24,15 @@
     readonly segmentBytes?: number;
     readonly fileSystem?: FileSystem;
     readonly counters?: Counters;
+    /** True when no other process can open the folder, so that it is not locked. Default false. */
+    readonly isFolderPrivate?: boolean;
 };
 
 /** Restart reads one segment at a time, so this also bounds the memory of a restart. */
 const DEFAULT_SEGMENT_BYTES = 8 * 1024 * 1024;
 /** Recent payloads kept in memory, because replication and apply read them right after they were written. */
 const CACHE_BYTES = 2 * 1024 * 1024;
+const NO_LOCK = () => Promise.resolve();
 
 /**
  * Opens a data folder and creates it when it is missing. An unfinished write at the end of the log is cut off.
@@ -45,7 +48,7 @@
     let release: (() => Promise<void>) | undefined;
     try {
         await fileSystem.mkdir(folder, { recursive: true });
-        release = await lockFolder(fileSystem, folder);
+        release = options.isFolderPrivate === true ? NO_LOCK : await lockFolder(fileSystem, folder);
         await files.removeTemporaryFiles(fileSystem, folder);
         const storeId = await files.openIdentity(fileSystem, folder, options.clusterId, options.replicaId);
         const hardState = await files.loadVote(fileSystem, folder);
--- /dev/null
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -0,0 +1,98 @@
+/**
+ * Replicated state of the catalog: the highest version of each item, drops included.
+ */
+import { decode, encode } from "cbor-x";
+import { type Item, ItemKind, itemKey } from "./items.js";
+
+export enum CommandKind {
+    /** Sets and drops items of given versions. */
+    Change = "change",
+    /** Sets whether a zone is evacuated; its version is the log index of the command. */
+    Evacuate = "evacuate",
+}
+
+export type CatalogCommand =
+    | { readonly kind: CommandKind.Change; readonly items: readonly Item[] }
+    | { readonly kind: CommandKind.Evacuate; readonly availabilityZone: string; readonly isActive: boolean };
+
+/** `error` is undefined when the command was accepted. */
+export type CatalogAnswer = { readonly error: string | undefined };
+
+export type CatalogState = {
+    /** Applies one committed command. */
+    apply(index: number, command: CatalogCommand): CatalogAnswer;
+    /** All items, dropped ones included. */
+    items(): readonly Item[];
+    takeSnapshot(): Uint8Array;
+    restoreSnapshot(payload: Uint8Array): void;
+};
+
+export const encodeCommand = (command: CatalogCommand): Uint8Array => encode(command);
+export const decodeCommand = (payload: Uint8Array): CatalogCommand => decode(payload) as CatalogCommand;
+
+const ACCEPTED: CatalogAnswer = { error: undefined };
+
+/**
+ * Creates an empty state.
+ *
+ * @param onChange Called with the items that a command or a snapshot has changed.
+ */
+export function createCatalogState(onChange: (items: readonly Item[]) => void): CatalogState {
+    let items = new Map<string, Item>();
+
+    /** A lower or equal version changes nothing, whatever it holds: the first content of a version stays. */
+    const isNewer = (item: Item) => item.version > (items.get(itemKey(item.kind, item.name))?.version ?? -Infinity);
+
+    const store = (changed: readonly Item[]) => {
+        changed.forEach(item => items.set(itemKey(item.kind, item.name), item));
+        if (changed.length > 0) {
+            onChange(changed);
+        }
+    };
+
+    const findUnknownService = (changed: readonly Item[]) => {
+        const after = new Map([...items, ...changed.map(item => [itemKey(item.kind, item.name), item] as const)]);
+        return changed
+            .flatMap(({ value }) => value?.kind === ItemKind.Route ? value.route.services : [])
+            .find(({ service }) => after.get(itemKey(ItemKind.Service, service))?.value === undefined)?.service;
+    };
+
+    const change = (sent: readonly Item[]): CatalogAnswer => {
+        // Only what takes effect is checked: a change that was accepted before must not be refused when it is resent.
+        const changed = [...new Map(
+            sent.filter(isNewer).sort((a, b) => a.version - b.version)
+                .map(item => [itemKey(item.kind, item.name), item]),
+        ).values()];
+        const unknown = findUnknownService(changed);
+        if (unknown !== undefined) {
+            return { error: `The service ${unknown} is not known.` };
+        }
+        store(changed);
+        return ACCEPTED;
+    };
+
+    const evacuate = (index: number, availabilityZone: string, isActive: boolean): CatalogAnswer => {
+        const kind = ItemKind.Evacuation;
+        const held = items.get(itemKey(kind, availabilityZone))?.value;
+        const isHeld = held?.kind === kind && held.isActive;
+        if (isHeld !== isActive) {
+            const value = { kind, isActive } as const;
+            store([{ kind, name: availabilityZone, version: index, value, source: undefined }]);
+        }
+        return ACCEPTED;
+    };
+
+    return {
+        apply: (index, command) =>
+            command.kind === CommandKind.Change
+                ? change(command.items)
+                : evacuate(index, command.availabilityZone, command.isActive),
+        items: () => [...items.values()],
+        takeSnapshot: () => encode([...items.values()]),
+        restoreSnapshot: payload => {
+            const restored = decode(payload) as Item[];
+            items = new Map(restored.map(item => [itemKey(item.kind, item.name), item]));
+            onChange(restored);
+        },
+    };
+}
--- /dev/null
+++ b/packages/hyssopfront/src/event-log/create-event-log.ts
@@ -0,0 +1,55 @@
+/**
+ * Event log on standard output, as lines of JSON.
+ */
+import { pino } from "pino";
+import { EventLevel, type EventLog } from "./event-log.js";
+
+/** Lines are written together once this many bytes wait, or after the interval. */
+const BUFFER_BYTES = 4_096;
+const FLUSH_INTERVAL_MS = 250;
+/** Bytes that may wait for a reader that does not read; lines beyond are dropped and counted. */
+const MAXIMUM_WAITING_BYTES = 1024 * 1024;
+
+export type ProcessEventLog = {
+    readonly log: EventLog;
+    /** Writes what waits, before the process ends. */
+    flush(): void;
+};
+
+/**
+ * Creates the log of a process. Writing never blocks: what a slow reader does not take in time is dropped.
+ *
+ * @param fields Fields of every line, such as the name of the instance.
+ * @param onDropped Called for each dropped line.
+ */
+export function createEventLog(
+    fields: Readonly<Record<string, unknown>>,
+    onDropped: () => void,
+): ProcessEventLog {
+    const destination = pino.destination({
+        dest: 1,
+        sync: false,
+        minLength: BUFFER_BYTES,
+        maxLength: MAXIMUM_WAITING_BYTES,
+        periodicFlush: FLUSH_INTERVAL_MS,
+    });
+    destination.on("drop", onDropped);
+    destination.on("error", onDropped);
+    const logger = pino({ base: { ...fields }, messageKey: "event", formatters: { level: label => ({ level: label }) } }, destination);
+    return {
+        log: (level, event, more = {}) => {
+            switch (level) {
+                case EventLevel.Info:
+                    logger.info(more, event);
+                    break;
+                case EventLevel.Warning:
+                    logger.warn(more, event);
+                    break;
+                case EventLevel.Error:
+                    logger.error(more, event);
+                    break;
+            }
+        },
+        flush: () => destination.flushSync(),
+    };
+}
--- /dev/null
+++ b/packages/hyssopfront/src/formation/member-peers.ts
@@ -0,0 +1,68 @@
+/**
+ * Connections between control instances whose addresses are their names.
+ */
+import { type Clock, type Counters, dialPeer, type PeerClient, type PeerIdentity } from "@hyssopfront/coordination";
+
+/** Name of the control instance that listens for its peers at an address and port. */
+export const memberName = (address: string, port: number) => `${address}:${port}`;
+
+/** Address and port of a member name. */
+export function parseMemberName(name: string): { readonly address: string; readonly port: number } {
+    const separator = name.lastIndexOf(":");
+    return { address: name.slice(0, separator), port: Number(name.slice(separator + 1)) };
+}
+
+export type MemberPeers = {
+    /** Calls an instance by name, dialling it when it is new; rejects with PeerError. */
+    call(name: string, kind: string, payload: unknown, deadlineMilliseconds: number): Promise<unknown>;
+    /** Keeps connections to these instances up and closes those to others. */
+    keep(names: readonly string[]): void;
+    /** Instances that are connected now. */
+    connected(): readonly string[];
+    close(): Promise<void>;
+};
+
+/** Creates connections to no instance yet. `onConnected` is called each time an instance is reached. */
+export function createMemberPeers(options: {
+    readonly clock: Clock;
+    readonly counters?: Counters;
+    readonly self: PeerIdentity;
+    readonly onConnected?: (name: string) => void;
+    readonly onLost?: (name: string, reason: Error | undefined) => void;
+}): MemberPeers {
+    const { clock, counters, self } = options;
+    const clients = new Map<string, PeerClient>();
+
+    const clientOf = (name: string) => {
+        const known = clients.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const client = dialPeer({
+            clock,
+            counters,
+            self,
+            ...parseMemberName(name),
+            expectedName: name,
+            onStateChange: (remote, reason) =>
+                remote === undefined ? options.onLost?.(name, reason) : options.onConnected?.(name),
+        });
+        clients.set(name, client);
+        return client;
+    };
+
+    return {
+        call: (name, kind, payload, deadlineMilliseconds) => clientOf(name).call(kind, payload, deadlineMilliseconds),
+        keep: names => {
+            names.filter(name => name !== self.name).forEach(clientOf);
+            [...clients].filter(([name]) => !names.includes(name)).forEach(([name, client]) => {
+                clients.delete(name);
+                void client.close();
+            });
+        },
+        connected: () => [...clients].filter(([, client]) => client.isConnected).map(([name]) => name),
+        close: async () => {
+            await Promise.all([...clients.values()].map(client => client.close()));
+        },
+    };
+}
--- /dev/null
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -0,0 +1,276 @@
+/**
+ * A control instance of the gateway: replicated catalog, registry of backend servers, and the feed that entries follow.
+ */
+import {
+    type Clock,
+    type Counters,
+    listenForPeers,
+    type PeerIdentity,
+    routePeerRequests,
+} from "@hyssopfront/coordination";
+import { randomUUID } from "node:crypto";
+import { CommandKind } from "../catalog/catalog-state.js";
+import { type Item, ItemKind, itemKey } from "../catalog/items.js";
+import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
+import { createChangeFeed } from "../feed/change-feed.js";
+import { createFormation, JOIN_REQUEST } from "../formation/formation.js";
+import { createMemberPeers, memberName } from "../formation/member-peers.js";
+import { chooseEntries, createEntryList, type EntryReport, entryReportSchema } from "../placement/entry-list.js";
+import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+import { createRegistry } from "../registry/registry.js";
+import { createCatalogGroup } from "./catalog-group.js";
+import { ControlRequestKind, FeedPrefix, proposeSchema, readFeedSchema, recordsSchema } from "./messages.js";
+import { createRecordSharing } from "./record-sharing.js";
+
+/** All instances of one deployment; other systems on the same addresses are refused in the handshake. */
+export const GATEWAY_CLUSTER_ID = "hyssopfront-gateway";
+/** Role that a control instance tells its peers. */
+const CONTROL_ROLE = "gateway-control";
+/** Pause between two looks for lost backend servers, in milliseconds. */
+const EXPIRY_INTERVAL_MS = 500;
+/** Pause before an instance tries again to learn what was acknowledged before its start, in milliseconds. */
+const CATCH_UP_PAUSE_MS = 200;
+const CATCH_UP_DEADLINE_MS = 2_000;
+/** Contact with a majority for this many heartbeats, before silence of a backend server says anything. */
+const LOSS_HEARTBEATS = 4;
+
+export type GatewayControlOptions = {
+    readonly clock: Clock;
+    readonly counters: Counters;
+    readonly log: EventLog;
+    readonly random: () => number;
+    readonly address: string;
+    readonly peerPort: number;
+    readonly availabilityZone: string;
+    readonly dataFolder: string;
+    /** True when the whole system starts for the first time, on empty disks. */
+    readonly isFirstStart: boolean;
+    /** Addresses of some control instances, as the settings have them now. */
+    readonly seedAddresses: () => readonly string[];
+    /** Voters of the replicated catalog. */
+    readonly voters: number;
+    /** Interval at which backend servers announce themselves, in milliseconds. */
+    readonly heartbeatMilliseconds: number;
+};
+
+export type GatewayControl = {
+    /**
+     * Takes in an announcement of a backend server.
+     *
+     * @returns False when it cannot be acknowledged, because too few control instances know of it.
+     */
+    announce(record: BackendRecord): Promise<boolean>;
+    /** Takes in a departure; as `announce`. `startedAt` is undefined when the backend server did not tell it. */
+    depart(id: string, startedAt: number | undefined): Promise<boolean>;
+    /**
+     * Changes items.
+     *
+     * @returns Why the change is invalid, or undefined when it is in force or will be.
+     * @throws CatalogUnavailableError when the outcome is not certain by the deadline.
+     */
+    changeItems(items: readonly Item[], deadlineMilliseconds: number): Promise<string | undefined>;
+    /** Sets whether a zone is evacuated; throws as `changeItems`. */
+    evacuate(availabilityZone: string, isActive: boolean, deadlineMilliseconds: number): Promise<void>;
+    /** Items that are not dropped, with all that was acknowledged; throws as `changeItems`. */
+    readItems(deadlineMilliseconds: number): Promise<readonly Item[]>;
+    /** Entries that a caller in a region should use for a host. */
+    findEntries(host: string, callerRegion: string): readonly EntryReport[];
+    /** Stops the instance; another one leads then. */
+    stop(): Promise<void>;
+};
+
+/** Starts a control instance and resolves once it listens for its peers. */
+export async function startGatewayControl(options: GatewayControlOptions): Promise<GatewayControl> {
+    const { clock, counters, log } = options;
+    const self = memberName(options.address, options.peerPort);
+    const incarnation = randomUUID();
+    const identity: PeerIdentity = {
+        clusterId: GATEWAY_CLUSTER_ID,
+        name: self,
+        incarnation,
+        role: CONTROL_ROLE,
+        availabilityZone: options.availabilityZone,
+    };
+    const stopping = new AbortController();
+    const { signal } = stopping;
+    const seeds = () => options.seedAddresses().map(address => memberName(address, options.peerPort));
+    const feed = createChangeFeed({ clock, feedId: incarnation });
+    let members: readonly string[] = [];
+
+    const peers = createMemberPeers({
+        clock,
+        counters,
+        self: identity,
+        onConnected: name => {
+            log(EventLevel.Info, "control instance reached", { peer: name });
+            sharing.pull(name).catch((error: unknown) =>
+                log(EventLevel.Warning, "records not pulled", { peer: name, ...errorFields(error) })
+            );
+        },
+        onLost: (name, reason) => log(EventLevel.Warning, "control instance lost", { peer: name, ...errorFields(reason) }),
+    });
+    const registry = createRegistry({
+        clock,
+        heartbeatMilliseconds: options.heartbeatMilliseconds,
+        onChange: (id, read) => {
+            const { service, state, sequence, startedAt } = read() ?? {};
+            log(EventLevel.Info, "backend server changed", { id, service, state, sequence, startedAt });
+            feed.set(FeedPrefix.BackendServer + id, read);
+        },
+    });
+    const others = () => members.filter(name => name !== self);
+    const sharing = createRecordSharing({ clock, log, peers, registry, others });
+    const entries = createEntryList({
+        clock,
+        onChange: () => {
+            const present = entries.present();
+            log(EventLevel.Info, "entries changed", { entries: present.map(({ name, isReady }) => ({ name, isReady })) });
+            feed.set(FeedPrefix.EntryCount, () => present.length);
+        },
+    });
+    const catalog = createCatalogGroup({
+        clock,
+        counters,
+        log,
+        random: options.random,
+        self,
+        clusterId: GATEWAY_CLUSTER_ID,
+        dataFolder: options.dataFolder,
+        firstVoters: options.isFirstStart && seeds().includes(self) ? seeds() : [],
+        peers,
+        onItems: items =>
+            items.forEach(item => {
+                const { kind, name, version } = item;
+                log(EventLevel.Info, "item changed", { kind, name, version, isDropped: item.value === undefined });
+                feed.set(FeedPrefix.Item + itemKey(kind, name), () => ({ ...item, source: undefined }));
+            }),
+        onStatus: status => {
+            const names = status.members.map(member => member.name);
+            if (names.length > 0 && names.join() !== members.join()) {
+                members = names;
+                feed.set(FeedPrefix.Members, () => names);
+            }
+        },
+    });
+    const formation = createFormation({
+        clock,
+        self,
+        replica: catalog.replica,
+        peers,
+        seeds,
+        voters: options.voters,
+        onChange: (change, error) =>
+            log(EventLevel.Info, "membership change", {
+                kind: change.kind,
+                member: change.name,
+                ...error === undefined ? {} : errorFields(error),
+            }),
+    });
+
+    const takeIn = async (record: BackendRecord, mustBind: boolean) => {
+        const isChange = registry.merge(record);
+        if (!isChange && !mustBind) {
+            sharing.later(record);
+            return true;
+        }
+        const shared = sharing.now(record);
+        return !mustBind || await shared;
+    };
+
+    const readFeed = async (payload: unknown, requestSignal: AbortSignal) => {
+        const { entry, read } = readFeedSchema.parse(payload);
+        const leave = entries.enter(entry);
+        try {
+            return await feed.read(read, requestSignal);
+        }
+        finally {
+            leave();
+        }
+    };
+
+    const listener = await listenForPeers({
+        clock,
+        counters,
+        address: options.address,
+        port: options.peerPort,
+        self: identity,
+        handle: routePeerRequests({
+            [ControlRequestKind.Consensus]: (from, payload) => catalog.handleConsensus(from.name, payload),
+            [ControlRequestKind.Propose]: async (_from, payload) =>
+                catalog.proposeHere(proposeSchema.parse(payload).command),
+            [ControlRequestKind.ShareRecords]: async (_from, payload) => {
+                recordsSchema.parse(payload).records.forEach(registry.merge);
+                return {};
+            },
+            [ControlRequestKind.PullRecords]: async () => ({ records: registry.records() }),
+            [ControlRequestKind.ReadFeed]: (_from, payload, requestSignal) => readFeed(payload, requestSignal),
+            [ControlRequestKind.ReportEntry]: async (_from, payload) => {
+                entries.update(entryReportSchema.parse(payload));
+                return {};
+            },
+            [JOIN_REQUEST]: async from => formation.handleJoin(from.name),
+        }),
+    });
+
+    /** Time at which this instance last had no contact with a majority of the control instances. */
+    let cutOffAt = clock.monotonicMilliseconds();
+    const expireRecords = async () => {
+        while (!signal.aborted) {
+            await clock.sleep(EXPIRY_INTERVAL_MS, signal).catch(() => undefined);
+            const connected = new Set(peers.connected());
+            const reached = others().filter(name => connected.has(name)).length + 1;
+            const now = clock.monotonicMilliseconds();
+            if (members.length === 0 || reached * 2 <= members.length) {
+                cutOffAt = now;
+            }
+            // A backend server that this instance has not heard of may have reached the others.
+            if (now - cutOffAt > options.heartbeatMilliseconds * LOSS_HEARTBEATS) {
+                registry.expire().forEach(({ id }) => counters.increment("registry.lost", 1, { id }));
+            }
+            entries.present();
+        }
+    };
+    const learnPast = async () => {
+        while (!signal.aborted && !feed.isComplete) {
+            try {
+                await catalog.catchUp(CATCH_UP_DEADLINE_MS);
+                feed.markComplete();
+                log(EventLevel.Info, "catalog complete", { items: catalog.items().length });
+            }
+            catch (error) {
+                log(EventLevel.Warning, "catalog not complete yet", errorFields(error));
+                await clock.sleep(CATCH_UP_PAUSE_MS, signal).catch(() => undefined);
+            }
+        }
+    };
+    const tasks = [catalog.run(signal), formation.run(signal), sharing.run(signal), expireRecords(), learnPast()];
+
+    return {
+        announce: record => takeIn(record, record.state === BackendServerState.Draining),
+        depart: async (id, startedAt) => {
+            const record = registry.departureOf(id, startedAt);
+            return record === undefined || takeIn(record, true);
+        },
+        changeItems: async (items, deadlineMilliseconds) =>
+            (await catalog.submit({ kind: CommandKind.Change, items }, deadlineMilliseconds)).error,
+        evacuate: async (availabilityZone, isActive, deadlineMilliseconds) => {
+            await catalog.submit({ kind: CommandKind.Evacuate, availabilityZone, isActive }, deadlineMilliseconds);
+        },
+        readItems: async deadlineMilliseconds => {
+            await catalog.catchUp(deadlineMilliseconds);
+            return catalog.items().filter(item => item.value !== undefined && item.kind !== ItemKind.Evacuation);
+        },
+        findEntries: (host, callerRegion) => {
+            const homeRegions = catalog.items().flatMap(({ value }) =>
+                value?.kind === ItemKind.Route && value.route.host === host ? value.route.homeRegions : []
+            );
+            return chooseEntries(entries.present(), callerRegion, homeRegions);
+        },
+        stop: async () => {
+            await catalog.replica()?.transferLeadership();
+            stopping.abort(new Error("The control instance stops."));
+            await Promise.all(tasks);
+            await Promise.all([listener.close(), peers.close()]);
+        },
+    };
+}
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/choose.ts
@@ -0,0 +1,125 @@
+/**
+ * Chooses the backend server of a request: the one that has handled its object before, unless that one has no room.
+ */
+import type { Clock } from "@hyssopfront/coordination";
+import type { ServicePolicy } from "../catalog/items.js";
+import type { BackendServer, BackendServers } from "./backend-servers.js";
+import { HealthState } from "./health.js";
+
+/** Share of the connections that a backend server accepts which entries use together; the rest is for other callers. */
+const CONNECTION_SHARE = 0.8;
+/** Requests that may wait at a backend server, as a multiple of its slots, before others are preferred. */
+const WAITING_SHARE = 1;
+/** Window in which requests to a cold backend server are counted, in milliseconds. */
+const COLD_WINDOW_MS = 1_000;
+
+export type ChoiceRequest = {
+    readonly service: string;
+    /** Names the object of the request; requests of one object go to one backend server. */
+    readonly affinityKey: string;
+    /** Regions that may serve it; empty when all may. */
+    readonly homeRegions: readonly string[];
+    /** Backend servers that have refused it or failed. */
+    readonly excluded: ReadonlySet<string>;
+};
+
+export enum NoServer {
+    /** None is announced in the allowed places. */
+    None = "none",
+    /** Each one is cold, full, or out of use. */
+    NoRoom = "no-room",
+}
+
+export type ServerChooser = {
+    choose(request: ChoiceRequest): BackendServer | NoServer;
+};
+
+export type ServerChooserOptions = {
+    readonly clock: Clock;
+    readonly servers: BackendServers;
+    /** Uniform hash of a text, 32 bits. */
+    readonly hash: (text: string) => number;
+    readonly policyOf: (service: string) => ServicePolicy | undefined;
+    readonly isEvacuated: (availabilityZone: string) => boolean;
+    /** Entries that share the backend servers with this one, itself included. */
+    readonly entryCount: () => number;
+};
+
+const addressOf = ({ record }: BackendServer) => `${record.address}:${record.port}`;
+
+/** Requests that the backend server works on or holds back, as far as this entry can tell. */
+export function estimateLoad({ load, inFlight }: BackendServer): number {
+    return load === undefined ? inFlight : Math.max(inFlight, load.running + load.waiting + inFlight - load.inFlightThen);
+}
+
+export function createServerChooser(options: ServerChooserOptions): ServerChooser {
+    const { clock, servers, hash } = options;
+    /** Order of the backend servers of a service for a key; valid for one generation. */
+    let rankings = new Map<string, readonly BackendServer[]>();
+    let rankedGeneration = -1;
+
+    /** Rendezvous hashing: a backend server that comes or goes moves only its own objects. */
+    const rank = (service: string, key: string) => {
+        if (rankedGeneration !== servers.generation) {
+            rankings = new Map();
+            rankedGeneration = servers.generation;
+        }
+        const cacheKey = `${service} ${key}`;
+        const known = rankings.get(cacheKey);
+        if (known !== undefined) {
+            return known;
+        }
+        const ranking = servers.usable(service)
+            .map(server => ({ server, score: hash(`${key} ${addressOf(server)}`) }))
+            .sort((a, b) => b.score - a.score)
+            .map(({ server }) => server);
+        rankings.set(cacheKey, ranking);
+        return ranking;
+    };
+
+    /** Divides what a cold backend server bears evenly, since the entries do not coordinate for it. */
+    const hasColdRoom = (server: BackendServer, policy: ServicePolicy | undefined) => {
+        const now = clock.monotonicMilliseconds();
+        if (now >= server.coldUntil) {
+            return true;
+        }
+        const { coldRequests } = server;
+        while (coldRequests.length > 0 && (coldRequests[0] as number) <= now - COLD_WINDOW_MS) {
+            coldRequests.shift();
+        }
+        return coldRequests.length < Math.max(1, (policy?.coldRequestsPerSecond ?? 1) / options.entryCount());
+    };
+
+    return {
+        choose: request => {
+            const { service, homeRegions, excluded } = request;
+            const policy = options.policyOf(service);
+            const connectionLimit = (policy?.maximumConnections ?? Infinity) * CONNECTION_SHARE / options.entryCount();
+            const allowed = rank(service, request.affinityKey).filter(server =>
+                !excluded.has(server.record.id)
+                && (homeRegions.length === 0 || homeRegions.includes(server.region))
+                && !options.isEvacuated(server.record.availabilityZone)
+            );
+            if (allowed.length === 0) {
+                return NoServer.None;
+            }
+            const able = allowed.filter(server => {
+                const health = server.health.state();
+                return (health === HealthState.Healthy || (health === HealthState.Trial && server.inFlight === 0))
+                    && server.inFlight < connectionLimit
+                    && hasColdRoom(server, policy);
+            });
+            const roomy = able.find(server => estimateLoad(server) < server.record.slots * (1 + WAITING_SHARE));
+            const chosen = roomy ?? [...able].sort((a, b) =>
+                estimateLoad(a) / a.record.slots - estimateLoad(b) / b.record.slots
+            )[0];
+            if (chosen === undefined) {
+                return NoServer.NoRoom;
+            }
+            if (clock.monotonicMilliseconds() < chosen.coldUntil) {
+                chosen.coldRequests.push(clock.monotonicMilliseconds());
+            }
+            return chosen;
+        },
+    };
+}
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -0,0 +1,228 @@
+/**
+ * Brings one request to an answer: sends it to a backend server, and to another one where it may run again.
+ */
+import type { Clock, Counters } from "@hyssopfront/coordination";
+import type { Route } from "../catalog/items.js";
+import { EventLevel, type EventLog } from "../event-log/event-log.js";
+import type { RatioBudget } from "../routing/ratio-budget.js";
+import type { Timers } from "../routing/timers.js";
+import type { BackendServer, BackendServers } from "./backend-servers.js";
+import type { CallerAnswer } from "./caller-answer.js";
+import { NoServer, type ServerChooser } from "./choose.js";
+import { type Dispatch, dispatch, DispatchEnd, type DispatchResult } from "./dispatch.js";
+import type { GatewayRequest } from "./gateway-request.js";
+import type { MessageHeaders } from "./message-headers.js";
+
+/** Sends of one request beyond its allowed runs, after refusals. */
+const EXTRA_SENDS = 2;
+/** Part of the remaining time after which a caller that was refused should come back; callers honor up to a third. */
+const RETRY_AFTER_SHARE = 0.15;
+const LONGEST_RETRY_AFTER_MS = 400;
+/** With less than this left, another backend server could not answer in time, in milliseconds. */
+const SHORTEST_ATTEMPT_MS = 30;
+
+export type ForwardTools = {
+    readonly clock: Clock;
+    readonly counters: Counters;
+    readonly log: EventLog;
+    readonly timers: Timers;
+    readonly names: MessageHeaders;
+    readonly servers: BackendServers;
+    readonly chooser: ServerChooser;
+    /** Connections that this entry may open to one backend server of a service. */
+    readonly connectionLimit: (service: string) => number;
+    readonly retryBudget: (service: string) => RatioBudget;
+};
+
+export enum ForwardOutcome {
+    Answered = "answered",
+    CallerGone = "caller-gone",
+    TimedOut = "timed-out",
+    Refused = "refused",
+    NoServer = "no-server",
+    Failed = "failed",
+    CutShort = "cut-short",
+}
+
+enum Stop {
+    Deadline = "deadline",
+    CallerGone = "caller-gone",
+}
+
+/** Everything that is decided about one request on its way. */
+type Journey = {
+    readonly excluded: Set<string>;
+    /** Sends that may have led to a run. */
+    runs: number;
+    sends: number;
+    stop: Stop | undefined;
+    current: Dispatch | undefined;
+};
+
+const isServerFailure = (status: number) => status >= 500;
+
+function noteHealth(tools: ForwardTools, server: BackendServer, result: DispatchResult): void {
+    const { log } = tools;
+    const { id } = server.record;
+    switch (result.end) {
+        case DispatchEnd.NotSent:
+            server.health.eject();
+            log(EventLevel.Warning, "backend server unreachable", { server: id, reason: result.message });
+            break;
+        case DispatchEnd.Replaced:
+            tools.servers.markReplaced(server);
+            log(EventLevel.Warning, "backend server replaced", { server: id });
+            break;
+        case DispatchEnd.Failed:
+        case DispatchEnd.CutShort:
+            if (server.health.recordFailure()) {
+                log(EventLevel.Warning, "backend server ejected", { server: id, reason: result.message });
+            }
+            break;
+        case DispatchEnd.Answered:
+            if (result.head !== undefined && isServerFailure(result.head.status) && server.health.recordFailure()) {
+                log(EventLevel.Warning, "backend server ejected", { server: id, status: result.head.status });
+            }
+            break;
+        default:
+            break;
+    }
+}
+
+/**
+ * Forwards a request and answers its caller.
+ *
+ * @param startedAt Monotonic milliseconds of the arrival of the request.
+ */
+export async function forward(
+    tools: ForwardTools,
+    request: GatewayRequest,
+    route: Route,
+    service: string,
+    startedAt: number,
+    caller: CallerAnswer,
+): Promise<ForwardOutcome> {
+    const { clock, log } = tools;
+    const endsAt = startedAt + Math.min(route.timeoutMilliseconds, request.callerMilliseconds ?? Infinity);
+    const journey: Journey = { excluded: new Set(), runs: 0, sends: 0, stop: undefined, current: undefined };
+    const budget = tools.retryBudget(service);
+    const canRepeat = request.body === undefined || Buffer.isBuffer(request.body);
+
+    const stop = (reason: Stop) => {
+        journey.stop ??= reason;
+        journey.current?.cancel();
+    };
+    const remaining = () => endsAt - clock.monotonicMilliseconds();
+    const refuse = (outcome: ForwardOutcome) => {
+        const retryAfterMilliseconds = Math.min(LONGEST_RETRY_AFTER_MS, Math.max(0, remaining()) * RETRY_AFTER_SHARE);
+        caller.answer({ status: 503, retryAfterMilliseconds });
+        return outcome;
+    };
+    const endEarly = () => {
+        if (journey.stop === Stop.CallerGone) {
+            return ForwardOutcome.CallerGone;
+        }
+        if (journey.runs === 0) {
+            return refuse(ForwardOutcome.TimedOut);
+        }
+        caller.answer({ status: 504 });
+        return ForwardOutcome.TimedOut;
+    };
+    const mayRepeat = () =>
+        canRepeat && journey.runs < route.maximumAttempts && journey.sends < route.maximumAttempts + EXTRA_SENDS
+        && remaining() > SHORTEST_ATTEMPT_MS && journey.stop === undefined;
+
+    const send = async (server: BackendServer) => {
+        journey.sends += 1;
+        journey.current = dispatch({
+            clock,
+            server,
+            request,
+            names: tools.names,
+            connectionLimit: tools.connectionLimit(service),
+            remainingMilliseconds: remaining(),
+            sink: caller.sink,
+        });
+        const result = await journey.current.result;
+        const isCertainlyNotRun = [DispatchEnd.Refused, DispatchEnd.Replaced, DispatchEnd.NotSent].includes(result.end)
+            || (result.end === DispatchEnd.Cancelled && !journey.current.wasSent());
+        journey.runs += isCertainlyNotRun ? 0 : 1;
+        journey.current = undefined;
+        noteHealth(tools, server, result);
+        return result;
+    };
+
+    const cancelDeadline = tools.timers.start(endsAt, () => stop(Stop.Deadline));
+    caller.onGone = () => stop(Stop.CallerGone);
+    budget.earn();
+    try {
+        for (;;) {
+            if (caller.isGone) {
+                return ForwardOutcome.CallerGone;
+            }
+            if (journey.stop !== undefined || remaining() <= 0) {
+                return endEarly();
+            }
+            const server = tools.chooser.choose({
+                service,
+                affinityKey: request.affinityKey ?? request.id,
+                homeRegions: route.homeRegions,
+                excluded: journey.excluded,
+            });
+            if (server === NoServer.None || server === NoServer.NoRoom) {
+                log(EventLevel.Warning, "no backend server", { request: request.id, service, reason: server });
+                if (journey.runs > 0) {
+                    caller.answer({ status: 502 });
+                    return ForwardOutcome.Failed;
+                }
+                return refuse(ForwardOutcome.NoServer);
+            }
+            const result = await send(server);
+            const { head, body, end } = result;
+            const isFailedRun = end === DispatchEnd.Failed
+                || (end === DispatchEnd.Answered && isServerFailure(head?.status ?? 0));
+            const isRepeatable = (isFailedRun && route.isIdempotent)
+                || end === DispatchEnd.Refused || end === DispatchEnd.Replaced || end === DispatchEnd.NotSent;
+            if (end !== DispatchEnd.Answered || isFailedRun) {
+                log(EventLevel.Info, "attempt ended", {
+                    request: request.id,
+                    service,
+                    server: server.record.id,
+                    end,
+                    status: head?.status,
+                    reason: result.message,
+                    remaining: Math.round(remaining()),
+                });
+            }
+            if (isRepeatable && mayRepeat() && budget.tryTake()) {
+                journey.excluded.add(server.record.id);
+                tools.counters.increment("gateway.repeats", 1, { service });
+                continue;
+            }
+            switch (end) {
+                case DispatchEnd.Answered:
+                    caller.deliver(head as NonNullable<typeof head>, body ?? Buffer.alloc(0));
+                    return ForwardOutcome.Answered;
+                case DispatchEnd.Streamed:
+                    return ForwardOutcome.Answered;
+                case DispatchEnd.CutShort:
+                    caller.cut();
+                    return ForwardOutcome.CutShort;
+                case DispatchEnd.Failed:
+                    caller.answer({ status: 502 });
+                    return ForwardOutcome.Failed;
+                case DispatchEnd.Cancelled:
+                    return endEarly();
+                default:
+                    if (journey.runs > 0) {
+                        caller.answer({ status: 502 });
+                        return ForwardOutcome.Failed;
+                    }
+                    return refuse(ForwardOutcome.Refused);
+            }
+        }
+    }
+    finally {
+        cancelDeadline();
+    }
+}
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/gateway-request.ts
@@ -0,0 +1,88 @@
+/**
+ * A caller's request, read and checked.
+ */
+import type { IncomingMessage } from "node:http";
+import type { CallerLimits } from "../catalog/items.js";
+import { selectRequestHeaders } from "../routing/headers.js";
+import { readWholeBody, type StreamedBody, streamBody } from "../routing/request-body.js";
+import type { MessageHeaders } from "./message-headers.js";
+
+/** Bodies up to this size are held, so that the request can be sent again; in bytes. */
+const HELD_BODY_BYTES = 1024 * 1024;
+
+export type GatewayRequest = {
+    readonly id: string;
+    readonly method: string;
+    readonly path: string;
+    readonly host: string;
+    /** Names and values in turn, without those that the gateway sets itself. */
+    readonly headers: readonly string[];
+    readonly affinityKey: string | undefined;
+    /** Milliseconds that the caller waits from the arrival; undefined when it does not say. */
+    readonly callerMilliseconds: number | undefined;
+    readonly body: Buffer | StreamedBody | undefined;
+};
+
+function findCookie(cookies: string | undefined, name: string): string | undefined {
+    return cookies?.split(";").map(cookie => cookie.trim()).find(cookie => cookie.startsWith(`${name}=`))
+        ?.slice(name.length + 1);
+}
+
+function hasBody(message: IncomingMessage): boolean {
+    return message.headers["transfer-encoding"] !== undefined || Number(message.headers["content-length"] ?? 0) > 0;
+}
+
+/** Size of the headers as they came, in bytes. */
+export function headerBytes(message: IncomingMessage): number {
+    return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, message.url?.length ?? 0);
+}
+
+/** Leaves out headers that the gateway sets itself. */
+function passedOnHeaders(message: IncomingMessage, names: MessageHeaders): string[] {
+    const headers = selectRequestHeaders(message.rawHeaders, message.headers.connection);
+    const own = new Set([names.deadline, names.expectedBackendServer, "content-length"]);
+    return headers.flatMap((name, index) =>
+        index % 2 === 0 && !own.has(name) ? [name, headers[index + 1] as string] : []
+    );
+}
+
+/**
+ * Reads the body, or the beginning of a long one.
+ *
+ * @throws BodyTooLargeError over the limit; the error of the connection when the caller ends it early.
+ */
+async function readBody(message: IncomingMessage, limits: CallerLimits): Promise<Buffer | StreamedBody | undefined> {
+    if (!hasBody(message)) {
+        return undefined;
+    }
+    const isLong = Number(message.headers["content-length"] ?? 0) > HELD_BODY_BYTES;
+    return isLong
+        ? streamBody(message, limits.maximumBodyBytes)
+        : readWholeBody(message, limits.maximumBodyBytes);
+}
+
+/** Reads a request; throws as its body's reading does. */
+export async function readGatewayRequest(
+    message: IncomingMessage,
+    names: MessageHeaders,
+    limits: CallerLimits,
+): Promise<GatewayRequest> {
+    const url = message.url ?? "/";
+    const deadline = Number(message.headers[names.deadline]);
+    const contentLength = message.headers["content-length"];
+    const body = await readBody(message, limits);
+    const headers = passedOnHeaders(message, names);
+    if (body !== undefined && !Buffer.isBuffer(body) && contentLength !== undefined) {
+        headers.push("content-length", contentLength);
+    }
+    return {
+        id: String(message.headers[names.requestId] ?? ""),
+        method: message.method ?? "GET",
+        path: url,
+        host: (message.headers.host ?? "").toLowerCase().replace(/:\d+$/, ""),
+        headers,
+        affinityKey: findCookie(message.headers.cookie, names.affinityCookie),
+        callerMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
+        body,
+    };
+}
--- /dev/null
+++ b/packages/hyssopfront/src/registry/registry.ts
@@ -0,0 +1,117 @@
+/**
+ * Registry of backend servers on one control instance: what they announced here or on another control instance.
+ */
+import type { Clock } from "@hyssopfront/coordination";
+import { type BackendRecord, BackendServerState, FINAL_SEQUENCE, isNewerRecord } from "./backend-record.js";
+
+/** Heartbeats that may be missed in a row before a backend server counts as lost; they may arrive seconds late. */
+const MISSED_HEARTBEATS = 3;
+/** Allowance for the delay of a heartbeat on its way, in milliseconds. */
+const HEARTBEAT_DELAY_MS = 1_000;
+/** A record that ended is kept this long, so that a delayed heartbeat cannot bring the backend server back. */
+const ENDED_RECORD_KEEP_MS = 120_000;
+/** A cold time that ends this much later than the one held counts as a change; smaller differences are jitter. */
+const COLD_CHANGE_MS = 300;
+
+type Held = { record: BackendRecord; coldUntil: number; heardAt: number };
+
+export type Registry = {
+    /**
+     * Takes in a record from a backend server or from another control instance.
+     *
+     * @returns True when entries must learn of it: anything but a mere sign of life.
+     */
+    merge(record: BackendRecord): boolean;
+    /** Record of a departure: the final one of the start that is known, or undefined for an unknown id. */
+    departureOf(id: string, startedAt: number | undefined): BackendRecord | undefined;
+    /** Records with the cold time that is left now. */
+    records(): readonly BackendRecord[];
+    /**
+     * Marks the backend servers that fell silent as lost and forgets those that ended long ago.
+     *
+     * @returns Records of the backend servers that were lost in this call.
+     */
+    expire(): readonly BackendRecord[];
+};
+
+const hasEnded = ({ state }: BackendRecord) => state === BackendServerState.Left || state === BackendServerState.Lost;
+
+/**
+ * Creates an empty registry.
+ *
+ * @param options.onChange Called with a function that gives the current form of a changed record.
+ */
+export function createRegistry(options: {
+    readonly clock: Clock;
+    readonly heartbeatMilliseconds: number;
+    readonly onChange: (id: string, read: () => BackendRecord | undefined) => void;
+}): Registry {
+    const { clock, onChange } = options;
+    const silenceMilliseconds = options.heartbeatMilliseconds * MISSED_HEARTBEATS + HEARTBEAT_DELAY_MS;
+    const held = new Map<string, Held>();
+
+    const current = ({ record, coldUntil }: Held): BackendRecord => ({
+        ...record,
+        coldMilliseconds: Math.max(0, Math.round(coldUntil - clock.monotonicMilliseconds())),
+    });
+    const publish = (id: string) =>
+        onChange(id, () => {
+            const entry = held.get(id);
+            return entry === undefined ? undefined : current(entry);
+        });
+
+    const isChange = (before: Held | undefined, record: BackendRecord, coldUntil: number, now: number) => {
+        if (before === undefined) {
+            return true;
+        }
+        const old = before.record;
+        const becameColder = coldUntil > now && coldUntil - Math.max(before.coldUntil, now) > COLD_CHANGE_MS;
+        return becameColder || (["startedAt", "state", "service", "address", "port", "availabilityZone", "slots"] as const)
+            .some(field => old[field] !== record[field]);
+    };
+
+    const merge = (record: BackendRecord) => {
+        const before = held.get(record.id);
+        if (!isNewerRecord(record, before?.record)) {
+            return false;
+        }
+        const now = clock.monotonicMilliseconds();
+        const coldUntil = now + record.coldMilliseconds;
+        const changed = isChange(before, record, coldUntil, now);
+        held.set(record.id, { record, coldUntil, heardAt: now });
+        if (changed) {
+            publish(record.id);
+        }
+        return changed;
+    };
+
+    return {
+        merge,
+        departureOf: (id, startedAt) => {
+            const known = held.get(id)?.record;
+            return known === undefined || (startedAt !== undefined && startedAt < known.startedAt)
+                ? undefined
+                : {
+                    ...known,
+                    startedAt: startedAt ?? known.startedAt,
+                    state: BackendServerState.Left,
+                    sequence: FINAL_SEQUENCE,
+                };
+        },
+        records: () => [...held.values()].map(current),
+        expire: () => {
+            const now = clock.monotonicMilliseconds();
+            const silent = [...held.values()].filter(({ record, heardAt }) =>
+                !hasEnded(record) && now - heardAt > silenceMilliseconds
+            );
+            const lost = silent.map(entry => ({ ...current(entry), state: BackendServerState.Lost }));
+            lost.forEach(merge);
+            [...held].filter(([, entry]) => hasEnded(entry.record) && now - entry.heardAt > ENDED_RECORD_KEEP_MS)
+                .forEach(([id]) => {
+                    held.delete(id);
+                    publish(id);
+                });
+            return lost;
+        },
+    };
+}
--- a/packages/hyssopfront/src/routing/attempt.ts
+++ b/packages/hyssopfront/src/routing/attempt.ts
@@ -5,6 +5,23 @@
 import type { BackendConnection } from "./backend-connections.js";
 import { AnswerReason, REFUSED_HEADER, REQUEST_ID_HEADER } from "./messages.js";
 
+/** How answers are told apart; differs between the interfaces of backend servers. */
+export type AnswerRules = {
+    /** Lower-case name of the header that returns the id of the request. */
+    readonly requestIdHeader: string;
+    /** True when the backend server says that it did not run the request. */
+    readonly isRefusal: (head: AnswerHead) => boolean;
+    /** True when an answer may end with its connection, without a length. */
+    readonly allowsUndelimited: boolean;
+};
+
+/** Rules of hyssopfront's own interface. */
+export const OWN_ANSWER_RULES: AnswerRules = {
+    requestIdHeader: REQUEST_ID_HEADER,
+    isRefusal: ({ status, headers }) => status === 503 && headers[REFUSED_HEADER] === "true",
+    allowsUndelimited: false,
+};
+
 export type AnswerHead = {
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -25,7 +42,7 @@
     /** The answer was read whole. */
     onEnd(): void;
     /** The backend server refused the request before running it. */
-    onRefused(): void;
+    onRefused(head: AnswerHead): void;
     /** Ends the attempt; after `onHead` the answer is cut short. */
     onFailure(failure: AttemptFailure): void;
 };
@@ -37,8 +54,9 @@
     readonly headers: readonly string[];
     readonly body: Buffer | AsyncIterable<Uint8Array> | undefined;
     readonly requestId: string;
-    /** True when the backend server has returned request ids before, so that each answer must carry one. */
-    readonly expectsRequestId: () => boolean;
+    readonly answerRules: AnswerRules;
+    /** True when the answer must carry the id of its request. */
+    readonly expectsRequestId: (head: AnswerHead) => boolean;
     /** Called when an answer carries the id of its request. */
     readonly onRequestIdSeen: () => void;
     /** Asked right before the request is written; a reason forbids it. */
@@ -86,6 +104,7 @@
     listener: AttemptListener,
     ownership: ConnectionReturn,
 ): Attempt {
+    const rules = request.answerRules;
     let controller: Dispatcher.DispatchController | undefined;
     let head: AnswerHead | undefined;
     let isRefusal = false;
@@ -125,19 +144,19 @@
                 return;
             }
             head = { status, headers };
-            const answeredId = headers[REQUEST_ID_HEADER];
-            if (answeredId === undefined ? request.expectsRequestId() : answeredId !== request.requestId) {
+            const answeredId = headers[rules.requestIdHeader];
+            if (answeredId === undefined ? request.expectsRequestId(head) : answeredId !== request.requestId) {
                 rejectAnswer("The answer does not carry the id of the request.");
                 return;
             }
             if (answeredId !== undefined) {
                 request.onRequestIdSeen();
             }
-            if (!isDelimited(request.method, head)) {
+            if (!rules.allowsUndelimited && !isDelimited(request.method, head)) {
                 rejectAnswer("The answer has neither a length nor chunked coding.");
                 return;
             }
-            isRefusal = status === 503 && headers[REFUSED_HEADER] === "true";
+            isRefusal = rules.isRefusal(head);
             if (!isRefusal) {
                 controller = started;
                 listener.onHead(head);
@@ -157,24 +176,24 @@
                 return;
             }
             isEnded = true;
-            if (closesConnection(head)) {
+            if (closesConnection(head) || !isDelimited(request.method, head)) {
                 ownership.discard();
             }
             else {
                 ownership.release();
             }
             if (isRefusal) {
-                listener.onRefused();
+                listener.onRefused(head);
             }
             else {
                 listener.onEnd();
             }
         },
         onResponseError: (_controller, error) => {
-            if (isRefusal && !isEnded) {
+            if (isRefusal && head !== undefined && !isEnded) {
                 isEnded = true;
                 ownership.discard();
-                listener.onRefused();
+                listener.onRefused(head);
                 return;
             }
             if (forbidden !== undefined) {
--- a/packages/hyssopfront/src/routing/exchange.ts
+++ b/packages/hyssopfront/src/routing/exchange.ts
@@ -2,7 +2,7 @@
  * Brings one request to an answer: dispatches it, retries and hedges within their budgets, and passes the answer on.
  */
 import { RequestClass } from "../resources/resource.js";
-import { type Attempt, type AttemptFailure, startAttempt } from "./attempt.js";
+import { type Attempt, type AttemptFailure, OWN_ANSWER_RULES, startAttempt } from "./attempt.js";
 import { type CallerResponse, NO_CALLER } from "./caller-response.js";
 import {
     type Choice,
@@ -153,6 +153,8 @@
             headers: [...plan.headers, DEADLINE_HEADER, String(remaining), REQUEST_ID_HEADER, requestId],
             body: streamed?.chunks ?? plan.body as Buffer | undefined,
             requestId,
+            answerRules: OWN_ANSWER_RULES,
+            // An id that was returned once must be returned in every answer.
             expectsRequestId: () => state.returnsRequestIds,
             onRequestIdSeen: () => {
                 state.returnsRequestIds = true;
--- /dev/null
+++ b/tools/build-platform.mjs
@@ -0,0 +1,22 @@
+/**
+ * Bundles the programs of the platform into target/hyssopfront-platform.cjs.
+ */
+import { build } from "esbuild";
+import { join, resolve } from "node:path";
+
+const ROOT = resolve(import.meta.dirname, "..");
+/** Native speed-ups of libraries, which a bundle cannot carry; each library does without when loading one fails. */
+const NATIVE_MODULES = ["unix-dgram", "cbor-extract"];
+
+await build({
+    entryPoints: [join(ROOT, "platform/src/main.ts")],
+    outfile: join(ROOT, "target/hyssopfront-platform.cjs"),
+    bundle: true,
+    minify: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    conditions: ["source"],
+    external: NATIVE_MODULES,
+    logLevel: "warning",
+});
