--- a/packages/hyssopfront/src/routing/backend-connections.ts
+++ b/packages/hyssopfront/src/routing/backend-connections.ts
@@ -2,6 +2,7 @@
  * Connections to one backend server. Each carries one request at a time and is kept only after a whole answer.
  */
 import type { Clock } from "@hyssopfront/coordination";
+import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 
 export type BackendConnection = {
@@ -62,6 +63,19 @@
 const originOf = (address: string, port: number) =>
     `http://${address.includes(":") ? `[${address}]` : address}:${port}`;
 
+/**
+ * Notes when a socket is reset. Node reports a reset that arrives together with the last bytes as an orderly end; the
+ * socket then has no remote address any more, which one that was ended in order still has.
+ */
+function noteReset(socket: Socket | null, connection: BackendConnection): void {
+    socket?.once("error", () => {
+        connection.isReset = true;
+    });
+    socket?.once("end", () => {
+        connection.isReset ||= socket.remoteAddress === undefined;
+    });
+}
+
 /**
  * Creates an empty pool. Once the backend server has sent bytes on an idle connection, no connection is reused any more:
  * the next such bytes could come after a request was sent and pass for its answer.
@@ -92,9 +106,7 @@
             pipelining: 1,
             connect: (connectOptions, callback) =>
                 openSocket(connectOptions, (...result) => {
-                    result[1]?.once("error", () => {
-                        connection.isReset = true;
-                    });
+                    noteReset(result[1], connection);
                     callback(...result);
                 }),
             // Both times are bounded by the deadline of each request.
