--- /dev/null
+++ b/packages/hyssopfront/src/catalog/catalog.steps.ts
@@ -0,0 +1,90 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type CatalogAnswer, type CatalogState, CommandKind, createCatalogState } from "./catalog-state.js";
+import { type Item, ItemKind, type Route } from "./items.js";
+
+let state: CatalogState;
+let answer: CatalogAnswer;
+let index = 0;
+
+const routeTo = (service: string, timeoutMilliseconds: number): Route => ({
+    host: "orders.example",
+    pathPrefix: "/",
+    isIdempotent: true,
+    timeoutMilliseconds,
+    latencyObjectiveMilliseconds: 100,
+    priority: 0,
+    services: [{ service, weight: 1 }],
+    maximumAttempts: 2,
+    hasAffinity: true,
+    homeRegions: [],
+});
+const routeItem = (name: string, version: number, route: Route | undefined): Item => ({
+    kind: ItemKind.Route,
+    name,
+    version,
+    value: route === undefined ? undefined : { kind: ItemKind.Route, route },
+    source: undefined,
+});
+const serviceItem = (name: string, version: number, isSet: boolean): Item => ({
+    kind: ItemKind.Service,
+    name,
+    version,
+    value: isSet
+        ? {
+            kind: ItemKind.Service,
+            policy: {
+                healthPath: "/health",
+                maximumConnections: 100,
+                coldStartMilliseconds: 1_000,
+                coldRequestsPerSecond: 10,
+            },
+        }
+        : undefined,
+    source: undefined,
+});
+const change = (...items: readonly Item[]) => {
+    answer = state.apply(++index, { kind: CommandKind.Change, items });
+};
+const find = (kind: ItemKind, name: string) =>
+    state.items().find(item => item.kind === kind && item.name === name)?.value;
+
+Given("a catalog with service {word} at version {int}", (name: string, version: number) => {
+    state = createCatalogState(() => undefined);
+    change(serviceItem(name, version, true));
+});
+When(
+    "route {word} at version {int} leads to {word} with a timeout of {int} ms",
+    (name: string, version: number, service: string, timeout: number) =>
+        change(routeItem(name, version, routeTo(service, timeout))),
+);
+When("route {word} is dropped at version {int}", (name: string, version: number) => {
+    change(routeItem(name, version, undefined));
+});
+When("service {word} is dropped at version {int}", (name: string, version: number) => {
+    change(serviceItem(name, version, false));
+});
+When(
+    "one change sets route {word} to {word} and route {word} to {word}, both at version {int}",
+    (one: string, known: string, other: string, unknown: string, version: number) =>
+        change(routeItem(one, version, routeTo(known, 100)), routeItem(other, version, routeTo(unknown, 100))),
+);
+When("availability zone {word} is evacuated", (availabilityZone: string) => {
+    answer = state.apply(++index, { kind: CommandKind.Evacuate, availabilityZone, isActive: true });
+});
+When("the catalog is restored from its snapshot", () => {
+    const snapshot = state.takeSnapshot();
+    state = createCatalogState(() => undefined);
+    state.restoreSnapshot(snapshot);
+});
+Then("the change was accepted", () => assert.equal(answer.error, undefined));
+Then("the change was refused", () => assert.notEqual(answer.error, undefined));
+Then("route {word} has a timeout of {int} ms", (name: string, timeout: number) => {
+    const value = find(ItemKind.Route, name);
+    assert.equal(value?.kind === ItemKind.Route ? value.route.timeoutMilliseconds : undefined, timeout);
+});
+Then("there is no route {word}", (name: string) => assert.equal(find(ItemKind.Route, name), undefined));
+Then("availability zone {word} is evacuated in the catalog", (name: string) => {
+    const value = find(ItemKind.Evacuation, name);
+    assert.ok(value?.kind === ItemKind.Evacuation && value.isActive);
+});
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -0,0 +1,134 @@
+Feature: Requests through an entry of the gateway
+
+  Background:
+    Given an entry with a route to stoc for repeatable requests and one to orders for others
+
+  Scenario: A request is answered as the backend server answers it
+    Given stoc-1 of stoc answers
+    When a caller asks stoc
+    Then the caller gets 200 with the backend server's own body and signature
+    And the backend server was told its id and less time than the caller has
+
+  # Guards against an answer that was cut by a reset and passes for whole.
+  Scenario Outline: An answer without a length that is reset is not delivered
+    Given orders-1 of orders <breaks>
+    When a caller asks orders
+    Then the caller gets 502
+
+    Examples:
+      | breaks                                        |
+      | resets an answer without a length             |
+      | resets an answer without a length after 20 ms |
+
+  Scenario: An answer without a length that ends in order is delivered
+    Given orders-1 of orders ends an answer without a length
+    When a caller asks orders
+    Then the caller gets 200 with the backend server's own body and signature
+
+  # Guards against an answer to another request that passes for the answer to this one.
+  Scenario: An answer with another request's id is not delivered
+    Given orders-1 of orders answers with another id
+    When a caller asks orders
+    Then the caller gets 502
+
+  # Guards against bytes that no backend server has signed.
+  Scenario: A success without a signature is not delivered
+    Given orders-1 of orders answers without a signature
+    When a caller asks orders
+    Then the caller gets 502
+
+  # Guards against an order that runs twice.
+  Scenario: A request that must not run twice is sent once when its connection is reset
+    Given orders-1 of orders resets
+    And orders-2 of orders resets
+    When a caller asks orders
+    Then the caller gets 502
+    And the backend servers got 1 request
+
+  Scenario: A repeatable request is sent to another backend server when its connection is reset
+    Given stoc-1 of stoc resets
+    And stoc-2 of stoc answers
+    When a caller asks stoc 8 times
+    Then each caller gets 200
+
+  # Guards against orders that fail although a backend server has said that it did not run them.
+  Scenario: A request that was not run is sent to another backend server
+    Given orders-1 of orders refuses
+    And orders-2 of orders answers
+    When a caller asks orders 4 times
+    Then each caller gets 200
+
+  # Guards against a promise that a request has not run although it has.
+  Scenario: A caller is told that its request has not run only when that is certain
+    Given orders-1 of orders refuses
+    When a caller asks orders
+    Then the caller gets 503 and is told when to come back
+    Given orders-2 of orders resets
+    When a caller asks orders
+    Then the caller gets 502
+
+  # Guards against requests to an address that another backend server has taken over.
+  Scenario: A backend server that was replaced at its address gets nothing more
+    Given orders-1 of orders is another backend server
+    And orders-2 of orders answers
+    When a caller asks orders 6 times
+    Then each caller gets 200
+    And orders-1 got at most 1 request
+
+  # Guards against requests that hold the caller beyond the timeout of the route.
+  Scenario: A request is answered at the timeout of its route
+    Given stoc-1 of stoc falls silent
+    When a caller asks stoc
+    Then the caller gets 504 after 1000 ms
+
+  # Guards against work for callers that have left.
+  Scenario: The request of a caller that leaves is cancelled
+    Given orders-1 of orders falls silent
+    When a caller asks orders and leaves after 100 ms
+    Then the connection to orders-1 is closed within 300 ms
+
+  Scenario: A backend server that drains gets nothing more
+    Given stoc-1 of stoc answers
+    And stoc-2 of stoc answers
+    When stoc-1 announces that it drains
+    And a caller asks stoc 8 times
+    Then each caller gets 200
+    And stoc-1 got at most 0 requests
+
+  # Guards against work for a place that operators have emptied.
+  Scenario: A backend server in an evacuated zone gets nothing
+    Given stoc-1 of stoc answers
+    When the zone of the backend servers is evacuated
+    And a caller asks stoc
+    Then the caller gets 503 and is told when to come back
+    When the evacuation ends
+    And a caller asks stoc
+    Then the caller gets 200 with the backend server's own body and signature
+
+  # Guards against a cold backend server that is pushed past what it bears.
+  Scenario: A cold backend server gets no more than it bears
+    Given stoc-1 of stoc answers and is cold
+    When 30 callers ask stoc at once
+    Then stoc-1 got at most 5 requests
+
+  # Guards against slots that are filled with slow first runs of one object.
+  Scenario: Requests of an object wait for the first one
+    Given stoc-1 of stoc answers after 100 ms
+    When 5 callers ask stoc for one object at once
+    Then 1 request was at the backend server in the first 60 ms
+    And each caller gets 200
+
+  Scenario: An unknown route is answered 404, and 503 before the catalog is known
+    When a caller asks nothing
+    Then the caller gets 404
+    Given an entry that knows no catalog
+    When a caller asks nothing
+    Then the caller gets 503 and is told when to come back
+
+  # Guards against requests that are cut by a planned stop.
+  Scenario: A stop ends the requests that were taken
+    Given stoc-1 of stoc answers after 400 ms
+    When a caller asks stoc and the entry stops
+    Then the entry is not ready
+    And each caller gets 200
+    And the entry has stopped within 1000 ms
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -0,0 +1,355 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import {
+    createSystemClock,
+    listenForPeers,
+    NO_COUNTERS,
+    type PeerListener,
+    routePeerRequests,
+} from "@hyssopfront/coordination";
+import assert from "node:assert/strict";
+import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { type Item, ItemKind, itemKey, type ItemValue, type Route } from "../catalog/items.js";
+import { NO_EVENT_LOG } from "../event-log/event-log.js";
+import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
+import { ControlRequestKind, FeedPrefix } from "../gateway-control/messages.js";
+import { GATEWAY_CLUSTER_ID } from "../gateway-control/start-gateway-control.js";
+import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+import type { MessageHeaders } from "./message-headers.js";
+import { type Gateway, startGateway } from "./start-gateway.js";
+
+const HOST = "127.0.0.1";
+const NAMES: MessageHeaders = {
+    requestId: "test-request-id",
+    deadline: "test-deadline",
+    affinityCookie: "test-object",
+    answerSignature: "test-signature",
+    expectedBackendServer: "test-expected",
+    notRun: "test-not-run",
+    load: "test-load",
+    retryAfter: "retry-after",
+};
+const BODY = "x".repeat(2_000);
+const STOP_MS = 900;
+const DEADLINE_MS = 1_500;
+const TIMEOUT_MS = 1_000;
+
+type Answer = { readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: string };
+type StandIn = { readonly server: Server; requests: string[]; readonly sockets: Set<Socket>; record: BackendRecord };
+type Behaviour = (socket: Socket, id: string) => void;
+
+const clock = createSystemClock();
+let feed: ChangeFeed;
+let control: PeerListener;
+let gateway: Gateway;
+let callerPort: number;
+let standIns: Map<string, StandIn>;
+let answers: Promise<Answer>[];
+let askedAt: number;
+let stopped: Promise<void> | undefined;
+let lastRequest = 0;
+
+const head = (status: string, id: string, more: readonly string[] = []) =>
+    [`HTTP/1.1 ${status}`, `${NAMES.requestId}: ${id}`, ...more, "", ""].join("\r\n");
+const SIGNED = `${NAMES.answerSignature}: s1`;
+const LENGTH = `content-length: ${BODY.length}`;
+const answerWhole: Behaviour = (socket, id) => void socket.write(head("200 OK", id, [SIGNED, LENGTH]) + BODY);
+const after = (milliseconds: number, behaviour: Behaviour): Behaviour => (socket, id) =>
+    void setTimeout(() => behaviour(socket, id), milliseconds);
+const BEHAVIOURS: Readonly<Record<string, Behaviour>> = {
+    "answers": answerWhole,
+    "answers and is cold": answerWhole,
+    "answers after 100 ms": after(100, answerWhole),
+    "answers after 400 ms": after(400, answerWhole),
+    "resets": socket => void socket.resetAndDestroy(),
+    "resets an answer without a length": (socket, id) => {
+        // The reset follows in the same turn once the bytes are out, so both reach the entry together.
+        socket.write(head("200 OK", id, [SIGNED]) + BODY.slice(0, 500), () => socket.resetAndDestroy());
+    },
+    "resets an answer without a length after 20 ms": (socket, id) => {
+        socket.write(head("200 OK", id, [SIGNED]) + BODY.slice(0, 500));
+        setTimeout(() => socket.resetAndDestroy(), 20);
+    },
+    "ends an answer without a length": (socket, id) => void socket.end(head("200 OK", id, [SIGNED]) + BODY),
+    "answers with another id": (socket, id) => answerWhole(socket, `${id}-other`),
+    "answers without a signature": (socket, id) => void socket.write(head("200 OK", id, [LENGTH]) + BODY),
+    "refuses": (socket, id) =>
+        void socket.write(head("503 Service Unavailable", id, [`${NAMES.notRun}: 1`, "content-length: 0"])),
+    "is another backend server": (socket, id) =>
+        void socket.write(head("421 Misdirected Request", id, ["content-length: 0"])),
+    "falls silent": () => undefined,
+};
+
+const tell = (item: Omit<Item, "source">) =>
+    feed.set(FeedPrefix.Item + itemKey(item.kind, item.name), () => ({ ...item, source: undefined }));
+const tellRecord = (record: BackendRecord) => feed.set(FeedPrefix.BackendServer + record.id, () => record);
+const waitUntil = async (isDone: () => boolean) => {
+    const endsAt = Date.now() + 3_000;
+    while (!isDone() && Date.now() < endsAt) {
+        await clock.sleep(5);
+    }
+    assert.ok(isDone(), "The condition did not come about in time.");
+};
+/** Lets what the feed was told reach the entry. */
+const settle = () => clock.sleep(60);
+
+const routeTo = (service: string, isIdempotent: boolean): Route => ({
+    host: "gateway.example",
+    pathPrefix: `/${service}/`,
+    isIdempotent,
+    timeoutMilliseconds: TIMEOUT_MS,
+    latencyObjectiveMilliseconds: 200,
+    priority: 0,
+    services: [{ service, weight: 1 }],
+    maximumAttempts: 2,
+    hasAffinity: true,
+    homeRegions: [],
+});
+
+async function startEntry(hasCatalog: boolean): Promise<void> {
+    feed = createChangeFeed({ clock, feedId: String(Math.random()) });
+    // The listener tells its name in the handshake, so its port must be known before it listens.
+    const probe = createServer().listen(0, HOST);
+    await new Promise(resolve => probe.once("listening", resolve));
+    const { port } = probe.address() as AddressInfo;
+    await new Promise(resolve => probe.close(resolve));
+    control = await listenForPeers({
+        clock,
+        address: HOST,
+        port,
+        self: {
+            clusterId: GATEWAY_CLUSTER_ID,
+            name: `${HOST}:${port}`,
+            incarnation: "1",
+            role: "control",
+            availabilityZone: "z1",
+        },
+        handle: routePeerRequests({
+            [ControlRequestKind.ReadFeed]: async (_from, payload, signal) =>
+                feed.read(feedReadRequestSchema.parse((payload as { read: unknown }).read), signal),
+            [ControlRequestKind.ReportEntry]: async () => ({}),
+        }),
+    });
+    const entryProbe = createServer().listen(0, HOST);
+    await new Promise(resolve => entryProbe.once("listening", resolve));
+    callerPort = (entryProbe.address() as AddressInfo).port;
+    await new Promise(resolve => entryProbe.close(resolve));
+    gateway = await startGateway({
+        clock,
+        counters: NO_COUNTERS,
+        log: NO_EVENT_LOG,
+        random: () => 0.5,
+        hash: text => [...text].reduce((hash, letter) => Math.imul(hash ^ letter.charCodeAt(0), 16_777_619) >>> 0, 7),
+        name: "entry-1",
+        address: HOST,
+        callerPort,
+        availabilityZone: "z1",
+        regionOf: () => "r1",
+        regions: ["r1"],
+        controlPeerPort: port,
+        seedAddresses: () => [HOST],
+        names: NAMES,
+        retryShare: 0.2,
+        retrySlack: 50,
+        stopMilliseconds: STOP_MS,
+    });
+    if (!hasCatalog) {
+        return;
+    }
+    ["stoc", "orders"].forEach(service => {
+        const route = routeTo(service, service === "stoc");
+        const policy = {
+            healthPath: "/health",
+            maximumConnections: 50,
+            coldStartMilliseconds: 3_000,
+            coldRequestsPerSecond: 5,
+        };
+        const values: readonly ItemValue[] = [{ kind: ItemKind.Service, policy }, { kind: ItemKind.Route, route }];
+        values.forEach(value => tell({ kind: value.kind, name: service, version: 1, value }));
+    });
+    feed.markComplete();
+    await waitUntil(gateway.isReady);
+}
+
+async function startStandIn(id: string, service: string, behaviour: Behaviour, coldMilliseconds: number) {
+    const sockets = new Set<Socket>();
+    const server = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("close", () => sockets.delete(socket));
+        socket.on("data", data => {
+            const text = data.toString();
+            standIn.requests.push(text);
+            behaviour(socket, new RegExp(`${NAMES.requestId}: (\\S+)`, "i").exec(text)?.[1] ?? "");
+        });
+    });
+    server.listen(0, HOST);
+    await new Promise(resolve => server.once("listening", resolve));
+    const record: BackendRecord = {
+        id,
+        service,
+        address: HOST,
+        port: (server.address() as AddressInfo).port,
+        availabilityZone: "z1",
+        slots: 4,
+        state: BackendServerState.Ready,
+        coldMilliseconds,
+        startedAt: 1,
+        sequence: 1,
+    };
+    const standIn: StandIn = { server, requests: [], sockets, record };
+    standIns.set(id, standIn);
+    tellRecord(record);
+    await settle();
+}
+
+function ask(service: string, object?: string, leavesAfter?: number): Promise<Answer> {
+    lastRequest += 1;
+    askedAt = Date.now();
+    return new Promise((resolve, reject) => {
+        const request = sendRequest({
+            host: HOST,
+            port: callerPort,
+            path: `/${service}/1`,
+            method: service === "orders" ? "POST" : "GET",
+            agent: false,
+            headers: {
+                host: "gateway.example",
+                [NAMES.requestId]: `q${lastRequest}`,
+                [NAMES.deadline]: String(DEADLINE_MS),
+                cookie: `${NAMES.affinityCookie}=${object ?? `o${lastRequest}`}`,
+            },
+        }, response => {
+            const chunks: Buffer[] = [];
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("error", reject);
+            response.on("end", () =>
+                resolve({
+                    status: response.statusCode ?? 0,
+                    headers: response.headers,
+                    body: Buffer.concat(chunks).toString(),
+                }));
+        });
+        request.on("error", reject);
+        request.end();
+        if (leavesAfter !== undefined) {
+            setTimeout(() => request.destroy(), leavesAfter);
+        }
+    });
+}
+
+const requestsOf = (id: string) => standIns.get(id)?.requests.length ?? 0;
+const totalRequests = () => [...standIns.keys()].reduce((sum, id) => sum + requestsOf(id), 0);
+const lastAnswer = async () => {
+    const answer = await answers.at(-1);
+    assert.ok(answer !== undefined);
+    return answer;
+};
+
+async function closeAll(): Promise<void> {
+    await (stopped ?? gateway.stop());
+    await control.close();
+    standIns.forEach(({ server, sockets }) => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    stopped = undefined;
+}
+
+After(closeAll);
+
+Given("an entry with a route to stoc for repeatable requests and one to orders for others", async () => {
+    standIns = new Map();
+    answers = [];
+    await startEntry(true);
+});
+Given("an entry that knows no catalog", async () => {
+    await closeAll();
+    await startEntry(false);
+});
+Given(/^(\w+-\d) of (\w+) (.+)$/, async (id: string, service: string, behaviour: string) => {
+    const known = BEHAVIOURS[behaviour];
+    assert.ok(known !== undefined, `There is no behaviour "${behaviour}".`);
+    await startStandIn(id, service, known, behaviour.includes("cold") ? 3_000 : 0);
+});
+When("a caller asks {word}", async (service: string) => {
+    answers = [ask(service)];
+    await Promise.all(answers);
+});
+When("a caller asks {word} {int} times", async (service: string, times: number) => {
+    answers = [];
+    for (let count = 0; count < times; count += 1) {
+        answers.push(ask(service));
+        await answers.at(-1);
+    }
+});
+When("{int} callers ask {word} at once", async (count: number, service: string) => {
+    answers = Array.from({ length: count }, () => ask(service));
+    await Promise.all(answers);
+});
+When("{int} callers ask {word} for one object at once", (count: number, service: string) => {
+    answers = Array.from({ length: count }, () => ask(service, "one"));
+});
+When("a caller asks {word} and leaves after {int} ms", async (service: string, milliseconds: number) => {
+    await assert.rejects(ask(service, undefined, milliseconds));
+});
+When("a caller asks {word} and the entry stops", async (service: string) => {
+    answers = [ask(service)];
+    await clock.sleep(50);
+    askedAt = Date.now();
+    stopped = gateway.stop();
+});
+When("{word} announces that it drains", async (id: string) => {
+    const standIn = standIns.get(id) as StandIn;
+    tellRecord({ ...standIn.record, state: BackendServerState.Draining, sequence: 2 });
+    await settle();
+});
+const evacuate = async (isActive: boolean, version: number) => {
+    const kind = ItemKind.Evacuation;
+    tell({ kind, name: "z1", version, value: { kind, isActive } });
+    await settle();
+};
+When("the zone of the backend servers is evacuated", () => evacuate(true, 5));
+When("the evacuation ends", () => evacuate(false, 6));
+
+Then("the caller gets 200 with the backend server's own body and signature", async () => {
+    const { status, headers, body } = await lastAnswer();
+    assert.deepEqual([status, headers[NAMES.answerSignature], body], [200, "s1", BODY]);
+});
+Then("the backend server was told its id and less time than the caller has", () => {
+    const text = standIns.get("stoc-1")?.requests[0] ?? "";
+    assert.match(text, new RegExp(`${NAMES.expectedBackendServer}: stoc-1\r`, "i"));
+    const told = Number(new RegExp(`${NAMES.deadline}: (\\d+)`, "i").exec(text)?.[1]);
+    assert.ok(told > 0 && told <= TIMEOUT_MS, `${told} ms were told.`);
+});
+Then("the caller gets {int}", async (status: number) => assert.equal((await lastAnswer()).status, status));
+Then("the caller gets {int} after {int} ms", async (status: number, milliseconds: number) => {
+    assert.equal((await lastAnswer()).status, status);
+    const took = Date.now() - askedAt;
+    assert.ok(took >= milliseconds - 5 && took < milliseconds + 250, `It took ${took} ms.`);
+});
+Then("the caller gets 503 and is told when to come back", async () => {
+    const { status, headers } = await lastAnswer();
+    assert.equal(status, 503);
+    assert.ok(Number(headers["retry-after"]) >= 0);
+});
+Then("each caller gets {int}", async (status: number) => {
+    assert.deepEqual((await Promise.all(answers)).map(answer => answer.status), answers.map(() => status));
+});
+Then("the backend servers got {int} request(s)", (count: number) => assert.equal(totalRequests(), count));
+Then("{word} got at most {int} request(s)", (id: string, count: number) => {
+    assert.ok(requestsOf(id) <= count, `It got ${requestsOf(id)} requests.`);
+});
+Then("the connection to {word} is closed within {int} ms", async (id: string, milliseconds: number) => {
+    await clock.sleep(milliseconds);
+    assert.equal(standIns.get(id)?.sockets.size, 0);
+});
+Then("{int} request was at the backend server in the first {int} ms", async (count: number, milliseconds: number) => {
+    await clock.sleep(milliseconds);
+    assert.equal(totalRequests(), count);
+});
+Then("the entry is not ready", () => assert.equal(gateway.isReady(), false));
+Then("the entry has stopped within {int} ms", async (milliseconds: number) => {
+    await stopped;
+    assert.ok(Date.now() - askedAt <= milliseconds);
+});
