--- a/packages/hyssopfront/src/gateway/caller-answer.ts
+++ b/packages/hyssopfront/src/gateway/caller-answer.ts
@@ -76,7 +76,7 @@
         },
         cut: () => void response.destroy(),
         get isGone() {
-            return response.destroyed && !response.writableFinished;
+            return (response.destroyed || response.socket?.readableEnded === true) && !response.writableFinished;
         },
         onGone: () => undefined,
     };
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -23,6 +23,7 @@
 import { forward, type ForwardTools } from "./forward.js";
 import { type GatewayRequest, headerBytes, readGatewayRequest } from "./gateway-request.js";
 import type { MessageHeaders } from "./message-headers.js";
+import { measureLoopLag } from "./loop-lag.js";
 import { createServiceSplit } from "./service-split.js";
 
 /** Role that an entry tells its peers. */
@@ -37,6 +38,15 @@
 const STOP_POLL_MS = 50;
 /** Part of the allowed repeats that entries use; the rest covers differences between their windows. */
 const BUDGET_SHARE = 0.7;
+/** With this delay of the event loop, callers may have left before their requests are read, in milliseconds. */
+const NOTICEABLE_LAG_MS = 50;
+/** Delay of the event loop beyond which requests are refused, the least urgent first, in milliseconds. */
+const REFUSING_LAG_MS = 300;
+/** Further delay for each step of urgency, in milliseconds. */
+const REFUSING_LAG_STEP_MS = 150;
+/** Priorities are told apart up to this one; 0 is the most urgent. */
+const LEAST_URGENT_PRIORITY = 2;
+const OVERLOADED_RETRY_MS = 200;
 /** Callers that are refused before the catalog is known come back after this time, in milliseconds. */
 const NOT_READY_RETRY_MS = 300;
 
@@ -79,6 +89,7 @@
     const region = options.regionOf(options.availabilityZone);
     const catalog = createCatalogView();
     const timers = createTimers(clock);
+    const lag = measureLoopLag(clock);
     const servers = createBackendServers({
         clock,
         random: options.random,
@@ -244,6 +255,15 @@
             answer(404, "no route");
             return;
         }
+        const delay = lag.milliseconds();
+        if (delay > NOTICEABLE_LAG_MS) {
+            const urgency = LEAST_URGENT_PRIORITY - Math.min(LEAST_URGENT_PRIORITY, named.route.priority);
+            if (delay > REFUSING_LAG_MS + urgency * REFUSING_LAG_STEP_MS) {
+                answer(503, "the entry is overloaded", OVERLOADED_RETRY_MS);
+                return;
+            }
+            await lag.readConnections();
+        }
         const service = nextService(named);
         const outcome = await forward(tools, request, named.route, service, startedAt, caller);
         counters.increment("gateway.requests", 1, { service, outcome });
@@ -300,6 +320,7 @@
             log(EventLevel.Info, "entry stopped", { openRequests });
             await feeds.close();
             timers.close();
+            lag.close();
             servers.close();
         },
     };
--- a/packages/hyssopfront/src/registry/registry.feature
+++ b/packages/hyssopfront/src/registry/registry.feature
@@ -49,3 +49,9 @@
     And stoc-1, started at 1000, announces itself ready as number 6 and cold for 2000 ms
     Then that was no change
     And stoc-1 is cold for 2000 ms
+
+  # Guards against an acknowledged departure that nobody acts on, when the backend server is known to others only.
+  Scenario: A departure of an unknown backend server binds those that know it
+    When orders-1 leaves
+    And orders-1, started at 1000, announces itself ready as number 9
+    Then orders-1 is left
--- a/packages/hyssopfront/src/registry/registry.steps.ts
+++ b/packages/hyssopfront/src/registry/registry.steps.ts
@@ -30,7 +30,7 @@
 const find = (id: string) => registry.records().find(one => one.id === id);
 
 Given("a registry that expects a heartbeat each {int} ms", (heartbeatMilliseconds: number) => {
-    clock = createManualClock();
+    clock = createManualClock(new Date(2_000));
     registry = createRegistry({ clock, heartbeatMilliseconds, onChange: () => undefined });
 });
 When(
--- a/packages/hyssopfront/src/registry/registry.ts
+++ b/packages/hyssopfront/src/registry/registry.ts
@@ -22,7 +22,10 @@
      * @returns True when entries must learn of it: anything but a mere sign of life.
      */
     merge(record: BackendRecord): boolean;
-    /** Record of a departure: the final one of the start that is known, or undefined for an unknown id. */
+    /**
+     * Record of a departure: the final one of the start that it names, else of the start that is known, else of any
+     * start up to now, since the backend server may be known elsewhere. Undefined for an earlier start than the known.
+     */
     departureOf(id: string, startedAt: number | undefined): BackendRecord | undefined;
     /** Records with the cold time that is left now. */
     records(): readonly BackendRecord[];
@@ -36,6 +39,20 @@
 
 const hasEnded = ({ state }: BackendRecord) => state === BackendServerState.Left || state === BackendServerState.Lost;
 
+/** Stands for a backend server that was heard of elsewhere. */
+const unknownServer = (id: string, startedAt: number): BackendRecord => ({
+    id,
+    service: "",
+    address: "",
+    port: 0,
+    availabilityZone: "",
+    slots: 0,
+    state: BackendServerState.Left,
+    coldMilliseconds: 0,
+    startedAt,
+    sequence: FINAL_SEQUENCE,
+});
+
 /**
  * Creates an empty registry.
  *
@@ -89,14 +106,15 @@
         merge,
         departureOf: (id, startedAt) => {
             const known = held.get(id)?.record;
-            return known === undefined || (startedAt !== undefined && startedAt < known.startedAt)
-                ? undefined
-                : {
-                    ...known,
-                    startedAt: startedAt ?? known.startedAt,
-                    state: BackendServerState.Left,
-                    sequence: FINAL_SEQUENCE,
-                };
+            if (known !== undefined && startedAt !== undefined && startedAt < known.startedAt) {
+                return undefined;
+            }
+            return {
+                ...known ?? unknownServer(id, clock.wallTime().getTime()),
+                ...startedAt === undefined ? {} : { startedAt },
+                state: BackendServerState.Left,
+                sequence: FINAL_SEQUENCE,
+            };
         },
         records: () => [...held.values()].map(current),
         expire: () => {
