--- /dev/null
+++ b/packages/hyssopfront/src/gateway-control/control-process.ts
@@ -0,0 +1,97 @@
+/**
+ * A control instance as a process of its own, for tests that kill it: takes calls as lines of JSON and answers them.
+ */
+import { createSystemClock, NO_COUNTERS } from "@hyssopfront/coordination";
+import { createInterface } from "node:readline";
+import { type Item, ItemKind } from "../catalog/items.js";
+import { NO_EVENT_LOG } from "../event-log/event-log.js";
+import { votersForLosses } from "../formation/formation.js";
+import { BackendServerState } from "../registry/backend-record.js";
+import { startGatewayControl } from "./start-gateway-control.js";
+
+const DEADLINE_MS = 2_000;
+
+type Options = {
+    readonly address: string;
+    readonly peerPort: number;
+    readonly dataFolder: string;
+    readonly isFirstStart: boolean;
+    readonly seeds: readonly string[];
+};
+type Call = { readonly id: number; readonly call: string; readonly argument: unknown };
+
+const { seeds, ...options } = JSON.parse(process.argv[2] ?? "{}") as Options;
+const control = await startGatewayControl({
+    ...options,
+    clock: createSystemClock(),
+    counters: NO_COUNTERS,
+    log: NO_EVENT_LOG,
+    random: Math.random,
+    availabilityZone: "z1",
+    seedAddresses: () => seeds,
+    voters: votersForLosses(2),
+    heartbeatMilliseconds: 1_000,
+});
+
+const SERVICE: Item = {
+    kind: ItemKind.Service,
+    name: "orders",
+    version: 1,
+    value: {
+        kind: ItemKind.Service,
+        policy: {
+            healthPath: "/health",
+            maximumConnections: 10,
+            coldStartMilliseconds: 0,
+            coldRequestsPerSecond: 10,
+        },
+    },
+    source: {},
+};
+const ROUTE: Item = {
+    kind: ItemKind.Route,
+    name: "orders",
+    version: 1,
+    value: {
+        kind: ItemKind.Route,
+        route: {
+            host: "orders.example",
+            pathPrefix: "/",
+            isIdempotent: false,
+            timeoutMilliseconds: 1_000,
+            latencyObjectiveMilliseconds: 100,
+            priority: 0,
+            services: [{ service: "orders", weight: 1 }],
+            maximumAttempts: 1,
+            hasAffinity: false,
+            homeRegions: [],
+        },
+    },
+    source: {},
+};
+
+const calls: Readonly<Record<string, (argument: unknown) => Promise<unknown>>> = {
+    voters: async () => control.voters(),
+    changeRoute: async () => await control.changeItems([SERVICE, ROUTE], DEADLINE_MS) ?? "accepted",
+    readRoutes: async () => (await control.readItems(DEADLINE_MS)).map(item => item.name),
+    drain: sequence =>
+        control.announce({
+            id: "orders-1",
+            service: "orders",
+            address: "10.0.0.1",
+            port: 80,
+            availabilityZone: "z1",
+            slots: 4,
+            state: BackendServerState.Draining,
+            coldMilliseconds: 0,
+            startedAt: 1,
+            sequence: Number(sequence),
+        }),
+};
+
+const reply = (fields: object) => void process.stdout.write(`${JSON.stringify(fields)}\n`);
+createInterface({ input: process.stdin }).on("line", line => {
+    const { id, call, argument } = JSON.parse(line) as Call;
+    const answer = calls[call]?.(argument) ?? Promise.reject(new Error(`There is no call ${call}.`));
+    answer.then(value => reply({ id, value }), (error: Error) => reply({ id, error: error.message }));
+});
--- /dev/null
+++ b/packages/hyssopfront/src/gateway-control/control.steps.ts
@@ -0,0 +1,131 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createSystemClock } from "@hyssopfront/coordination";
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+
+const clock = createSystemClock();
+/** Loopback addresses of this file's instances; ports are taken from the process id, as test processes run together. */
+const addressOf = (number: number) => `127.0.7.${number}`;
+const PEER_PORT = 20_000 + process.pid % 20_000;
+const SETTLE_MS = 15_000;
+const MAIN = join(import.meta.dirname, "control-process.ts");
+
+type Reply = { readonly id: number; readonly value?: unknown; readonly error?: string };
+type Instance = { readonly child: ChildProcess; readonly ask: (call: string, argument?: unknown) => Promise<unknown> };
+
+let folder: string;
+let instances: Map<number, Instance>;
+let wasAcknowledged: unknown;
+let drains = 0;
+
+async function start(number: number, isFirstStart: boolean): Promise<void> {
+    const options = {
+        address: addressOf(number),
+        peerPort: PEER_PORT,
+        dataFolder: join(folder, String(number)),
+        isFirstStart,
+        seeds: [1, 2, 3].map(addressOf),
+    };
+    const child = spawn(process.execPath, [MAIN, JSON.stringify(options)], { stdio: ["pipe", "pipe", "inherit"] });
+    const waiting = new Map<number, (reply: Reply) => void>();
+    let lastId = 0;
+    createInterface({ input: child.stdout }).on("line", line => {
+        const reply = JSON.parse(line) as Reply;
+        waiting.get(reply.id)?.(reply);
+    });
+    child.on("exit", () => waiting.forEach((resolve, id) => resolve({ id, error: "The instance was killed." })));
+    const ask = (call: string, argument?: unknown) =>
+        new Promise<unknown>((resolve, reject) => {
+            lastId += 1;
+            waiting.set(lastId, ({ value, error }) => error === undefined ? resolve(value) : reject(new Error(error)));
+            child.stdin.write(`${JSON.stringify({ id: lastId, call, argument })}\n`);
+        });
+    instances.set(number, { child, ask });
+}
+
+async function kill(number: number): Promise<void> {
+    const child = instances.get(number)?.child;
+    assert.ok(child !== undefined);
+    instances.delete(number);
+    child.kill("SIGKILL");
+    await once(child, "exit");
+}
+
+async function eventually(check: () => Promise<boolean>, message: () => string): Promise<void> {
+    const endsAt = clock.monotonicMilliseconds() + SETTLE_MS;
+    while (clock.monotonicMilliseconds() < endsAt) {
+        if (await check().catch(() => false)) {
+            return;
+        }
+        await clock.sleep(100);
+    }
+    assert.fail(message());
+}
+
+const votersAt = async (number: number) => (await instances.get(number)?.ask("voters") as string[]).sort();
+
+After(async () => {
+    await Promise.all([...instances.keys()].map(kill));
+    rmSync(folder, { recursive: true, force: true });
+});
+
+Given("{int} control instances that start for the first time, 3 of them seeds", async (count: number) => {
+    folder = mkdtempSync(join(tmpdir(), "gateway-control-"));
+    instances = new Map();
+    await Promise.all(Array.from({ length: count }, (_, index) => start(index + 1, true)));
+});
+Then("all instances have the same {int} voters", async (count: number) => {
+    let seen: readonly (readonly string[])[] = [];
+    await eventually(async () => {
+        seen = await Promise.all([...instances.keys()].map(votersAt));
+        return seen.every(voters => voters.length === count && voters.join() === seen[0]?.join());
+    }, () => `The voters are ${JSON.stringify(seen)}.`);
+});
+When("a route is changed at instance {int}", async (number: number) => {
+    // As an operator does, until there is a clear answer.
+    await eventually(
+        async () => await instances.get(number)?.ask("changeRoute") === "accepted",
+        () => "The change was not accepted.",
+    );
+});
+Then("each running instance reads the route", async () => {
+    await Promise.all([...instances].map(([number, instance]) =>
+        eventually(
+            async () => (await instance.ask("readRoutes") as string[]).includes("orders"),
+            () => `Instance ${number} does not read the route.`,
+        )
+    ));
+});
+When("all instances are killed and instances 1 and 2 lose their disks", async () => {
+    await Promise.all([...instances.keys()].map(kill));
+    [1, 2].forEach(number => rmSync(join(folder, String(number)), { recursive: true }));
+});
+When("all instances start again", async () => {
+    await Promise.all([1, 2, 3, 4, 5].map(number => start(number, false)));
+});
+When(
+    "instance {int} is killed for good and instance {int} starts with an empty disk",
+    async (gone: number, next: number) => {
+        await kill(gone);
+        await start(next, false);
+    },
+);
+Then("instance {int} is a voter and instance {int} is none", async (next: number, gone: number) => {
+    let voters: readonly string[] = [];
+    await eventually(async () => {
+        voters = await votersAt(1);
+        return voters.includes(`${addressOf(next)}:${PEER_PORT}`) && !voters.includes(`${addressOf(gone)}:${PEER_PORT}`);
+    }, () => `The voters are ${voters.join(", ")}.`);
+});
+When("a backend server announces at instance {int} that it drains", async (number: number) => {
+    drains += 1;
+    wasAcknowledged = await instances.get(number)?.ask("drain", drains);
+});
+When("instances 2, 3 and 4 are killed", () => Promise.all([2, 3, 4].map(kill)));
+Then("it is acknowledged", () => assert.equal(wasAcknowledged, true));
+Then("it is not acknowledged", () => assert.equal(wasAcknowledged, false));
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -75,6 +75,8 @@
     readItems(deadlineMilliseconds: number): Promise<readonly Item[]>;
     /** Entries that a caller in a region should use for a host. */
     findEntries(host: string, callerRegion: string): readonly EntryReport[];
+    /** Names of the control instances that vote, as this one knows them. */
+    voters(): readonly string[];
     /** Stops the instance; another one leads then. */
     stop(): Promise<void>;
 };
@@ -269,6 +271,7 @@
             );
             return chooseEntries(entries.present(), callerRegion, homeRegions);
         },
+        voters: () => (catalog.replica()?.status().members ?? []).filter(({ isVoter }) => isVoter).map(({ name }) => name),
         stop: async () => {
             await catalog.replica()?.transferLeadership();
             stopping.abort(new Error("The control instance stops."));
