--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -2,7 +2,7 @@
  * Replicated state of the catalog: the highest version of each item, drops included.
  */
 import { decode, encode } from "cbor-x";
-import { type Item, ItemKind, itemKey } from "./items.js";
+import { type Item, itemKey, ItemKind } from "./items.js";
 
 export enum CommandKind {
     /** Sets and drops items of given versions. */
--- a/packages/hyssopfront/src/event-log/create-event-log.ts
+++ b/packages/hyssopfront/src/event-log/create-event-log.ts
@@ -35,7 +35,11 @@
     });
     destination.on("drop", onDropped);
     destination.on("error", onDropped);
-    const logger = pino({ base: { ...fields }, messageKey: "event", formatters: { level: label => ({ level: label }) } }, destination);
+    const logger = pino({
+        base: { ...fields },
+        messageKey: "event",
+        formatters: { level: label => ({ level: label }) },
+    }, destination);
     return {
         log: (level, event, more = {}) => {
             switch (level) {
--- a/packages/hyssopfront/src/feed/follow-feeds.ts
+++ b/packages/hyssopfront/src/feed/follow-feeds.ts
@@ -96,14 +96,17 @@
             [...followed.keys()].filter(name => !names.includes(name)).forEach(name => void stop(name));
         },
         report: async () => {
-            await Promise.all([...followed].filter(([, { client }]) => client.isConnected).map(([name, { client }]) =>
-                client.call(ControlRequestKind.ReportEntry, options.entry(), REPORT_DEADLINE_MS).catch((error: unknown) =>
-                    log(EventLevel.Warning, "report not delivered", { peer: name, ...errorFields(error) })
-                )
-            ));
+            await Promise.all(
+                [...followed].filter(([, { client }]) => client.isConnected).map(([name, { client }]) =>
+                    client.call(ControlRequestKind.ReportEntry, options.entry(), REPORT_DEADLINE_MS).catch((
+                        error: unknown,
+                    ) => log(EventLevel.Warning, "report not delivered", { peer: name, ...errorFields(error) }))
+                ),
+            );
         },
-        connected: () => [...followed].filter(([, { client, isReading }]) => client.isConnected && isReading)
-            .map(([name]) => name),
+        connected: () =>
+            [...followed].filter(([, { client, isReading }]) => client.isConnected && isReading)
+                .map(([name]) => name),
         close: async () => {
             await Promise.all([...followed.keys()].map(stop));
         },
--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -109,14 +109,16 @@
     };
 
     const join = async (status: ReplicaStatus | undefined) => {
-        await Promise.all(contacts(status).map(async name => {
-            // A contact that does not answer is asked again in the next round; peers count failed dials.
-            const answer = await peers.call(name, JOIN_REQUEST, {}, JOIN_DEADLINE_MS).catch(() => undefined);
-            const { members } = (answer ?? { members: [] }) as { readonly members: readonly string[] };
-            if (members.length > 0) {
-                learnedMembers = members;
-            }
-        }));
+        await Promise.all(
+            contacts(status).map(async name => {
+                // A contact that does not answer is asked again in the next round; peers count failed dials.
+                const answer = await peers.call(name, JOIN_REQUEST, {}, JOIN_DEADLINE_MS).catch(() => undefined);
+                const { members } = (answer ?? { members: [] }) as { readonly members: readonly string[] };
+                if (members.length > 0) {
+                    learnedMembers = members;
+                }
+            }),
+        );
     };
 
     const round = async () => {
--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -26,8 +26,8 @@
 import type { Item } from "../catalog/items.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import type { MemberPeers } from "../formation/member-peers.js";
-import { ControlRequestKind, proposeReplySchema } from "./messages.js";
 import { rememberFirstVoters } from "./first-voters.js";
+import { ControlRequestKind, proposeReplySchema } from "./messages.js";
 
 const GROUP_ID = "catalog";
 /** Pause before the storage is opened again, in milliseconds. */
--- a/packages/hyssopfront/src/gateway-control/control.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/control.steps.ts
@@ -119,7 +119,8 @@
     let voters: readonly string[] = [];
     await eventually(async () => {
         voters = await votersAt(1);
-        return voters.includes(`${addressOf(next)}:${PEER_PORT}`) && !voters.includes(`${addressOf(gone)}:${PEER_PORT}`);
+        return voters.includes(`${addressOf(next)}:${PEER_PORT}`) &&
+            !voters.includes(`${addressOf(gone)}:${PEER_PORT}`);
     }, () => `The voters are ${voters.join(", ")}.`);
 });
 When("a backend server announces at instance {int} that it drains", async (number: number) => {
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -10,7 +10,7 @@
 } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { CommandKind } from "../catalog/catalog-state.js";
-import { type Item, ItemKind, itemKey } from "../catalog/items.js";
+import { type Item, itemKey, ItemKind } from "../catalog/items.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { createChangeFeed } from "../feed/change-feed.js";
 import { createFormation, JOIN_REQUEST } from "../formation/formation.js";
@@ -109,7 +109,8 @@
                 log(EventLevel.Warning, "records not pulled", { peer: name, ...errorFields(error) })
             );
         },
-        onLost: (name, reason) => log(EventLevel.Warning, "control instance lost", { peer: name, ...errorFields(reason) }),
+        onLost: (name, reason) =>
+            log(EventLevel.Warning, "control instance lost", { peer: name, ...errorFields(reason) }),
     });
     const registry = createRegistry({
         clock,
@@ -271,7 +272,8 @@
             );
             return chooseEntries(entries.present(), callerRegion, homeRegions);
         },
-        voters: () => (catalog.replica()?.status().members ?? []).filter(({ isVoter }) => isVoter).map(({ name }) => name),
+        voters: () =>
+            (catalog.replica()?.status().members ?? []).filter(({ isVoter }) => isVoter).map(({ name }) => name),
         stop: async () => {
             await catalog.replica()?.transferLeadership();
             stopping.abort(new Error("The control instance stops."));
--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -2,7 +2,7 @@
  * Backend servers as an entry knows them: what they announced, what it has open to them, and how they have answered.
  */
 import type { Clock } from "@hyssopfront/coordination";
-import { BackendServerState, type BackendRecord, isNewerRecord } from "../registry/backend-record.js";
+import { type BackendRecord, BackendServerState, isNewerRecord } from "../registry/backend-record.js";
 import { type BackendConnections, createBackendConnections } from "../routing/backend-connections.js";
 import { createHealth, type Health } from "./health.js";
 import { createWarmUp, type WarmUp } from "./warm-up.js";
--- a/packages/hyssopfront/src/gateway/caller-answer.ts
+++ b/packages/hyssopfront/src/gateway/caller-answer.ts
@@ -45,7 +45,8 @@
     const closeHeaders = () => closesConnection() ? { connection: "close" } : {};
     const answer: CallerAnswer = {
         sink: {
-            begin: head => void response.writeHead(head.status, { ...selectAnswerHeaders(head.headers), ...closeHeaders() }),
+            begin: head =>
+                void response.writeHead(head.status, { ...selectAnswerHeaders(head.headers), ...closeHeaders() }),
             write: (chunk, onWritable) => {
                 if (response.destroyed || response.write(chunk)) {
                     return true;
--- a/packages/hyssopfront/src/gateway/catalog-view.ts
+++ b/packages/hyssopfront/src/gateway/catalog-view.ts
@@ -1,7 +1,7 @@
 /**
  * The catalog as an entry sees it: the highest version of each item that any control instance has told.
  */
-import { type CallerLimits, type Item, ItemKind, itemKey, type Route, type ServicePolicy } from "../catalog/items.js";
+import { type CallerLimits, type Item, itemKey, ItemKind, type Route, type ServicePolicy } from "../catalog/items.js";
 
 /** Limits in force until the operators' arrive: generous, since callers that keep to the real ones must not be cut. */
 export const DEFAULT_LIMITS: CallerLimits = {
--- a/packages/hyssopfront/src/gateway/choose.ts
+++ b/packages/hyssopfront/src/gateway/choose.ts
@@ -56,7 +56,9 @@
 
 /** Requests that the backend server works on or holds back, as far as this entry can tell. */
 export function estimateLoad({ load, inFlight }: BackendServer): number {
-    return load === undefined ? inFlight : Math.max(inFlight, load.running + load.waiting + inFlight - load.inFlightThen);
+    return load === undefined
+        ? inFlight
+        : Math.max(inFlight, load.running + load.waiting + inFlight - load.inFlightThen);
 }
 
 export function createServerChooser(options: ServerChooserOptions): ServerChooser {
@@ -69,7 +71,8 @@
         const slots = new Map<string, number>();
         candidates.forEach(({ region, record }) => slots.set(region, (slots.get(region) ?? 0) + record.slots));
         const shares = planRegionShares(slots, options.regions, options.region);
-        return ({ region, record }: BackendServer) => (shares.get(region) ?? 0) * record.slots / (slots.get(region) ?? 1);
+        return ({ region, record }: BackendServer) =>
+            (shares.get(region) ?? 0) * record.slots / (slots.get(region) ?? 1);
     };
 
     const rank = (service: string, key: string) => {
--- a/packages/hyssopfront/src/gateway/dispatch.ts
+++ b/packages/hyssopfront/src/gateway/dispatch.ts
@@ -101,7 +101,6 @@
     let bytes = 0;
     let isStreaming = false;
     let head: AnswerHead | undefined;
-    let attempt: Attempt | undefined;
     let resolveResult: (result: DispatchResult) => void = () => undefined;
     let isEnded = false;
     const result = new Promise<DispatchResult>(resolve => {
@@ -125,7 +124,7 @@
         allowsUndelimited: true,
     };
     const isWholeBody = request.body === undefined || Buffer.isBuffer(request.body);
-    attempt = startAttempt(connection, {
+    const attempt: Attempt = startAttempt(connection, {
         method: request.method,
         path: request.path,
         headers: [
@@ -148,7 +147,7 @@
         onHead: next => {
             head = next;
             if (!isCredible(next, names)) {
-                attempt?.cancel();
+                attempt.cancel();
                 finish(DispatchEnd.Failed, "The answer is not the backend server's own.");
             }
         },
@@ -160,7 +159,7 @@
                 chunks.splice(0).forEach(held => sink.write(held, () => undefined));
             }
             if (isStreaming) {
-                return sink.write(chunk, () => attempt?.resume());
+                return sink.write(chunk, () => attempt.resume());
             }
             chunks.push(chunk);
             return true;
@@ -193,9 +192,9 @@
     return {
         result,
         cancel: () => {
-            attempt?.cancel();
+            attempt.cancel();
             finish(DispatchEnd.Cancelled);
         },
-        wasSent: () => attempt?.wasWritten() ?? false,
+        wasSent: () => attempt.wasWritten(),
     };
 }
--- a/packages/hyssopfront/src/gateway/gateway-request.ts
+++ b/packages/hyssopfront/src/gateway/gateway-request.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage } from "node:http";
 import type { CallerLimits } from "../catalog/items.js";
 import { selectRequestHeaders } from "../routing/headers.js";
-import { readWholeBody, type StreamedBody, streamBody } from "../routing/request-body.js";
+import { readWholeBody, streamBody, type StreamedBody } from "../routing/request-body.js";
 import type { MessageHeaders } from "./message-headers.js";
 
 /** Bodies up to this size are held, so that the request can be sent again; in bytes. */
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -9,7 +9,7 @@
 import assert from "node:assert/strict";
 import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { type Item, ItemKind, itemKey, type ItemValue, type Route } from "../catalog/items.js";
+import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
 import { NO_EVENT_LOG } from "../event-log/event-log.js";
 import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
 import { ControlRequestKind, FeedPrefix } from "../gateway-control/messages.js";
--- a/packages/hyssopfront/src/gateway/placement-plan.ts
+++ b/packages/hyssopfront/src/gateway/placement-plan.ts
@@ -23,10 +23,12 @@
     const demandOf = (region: string) => regions.includes(region) ? 1 / regions.length : 0;
     const demand = demandOf(origin);
     const atHome = demand === 0 ? 0 : Math.min(1, capacityOf(origin) / demand);
-    const spare = new Map([...slots.keys()].filter(region => region !== origin).map(region => [
-        region,
-        Math.max(0, capacityOf(region) - demandOf(region)),
-    ]));
+    const spare = new Map(
+        [...slots.keys()].filter(region => region !== origin).map(region => [
+            region,
+            Math.max(0, capacityOf(region) - demandOf(region)),
+        ]),
+    );
     const allSpare = [...spare.values()].reduce((sum, share) => sum + share, 0);
     const elsewhere = [...spare].map(([region, share]) =>
         [region, allSpare === 0 ? 0 : (1 - atHome) * share / allSpare] as const
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -22,8 +22,8 @@
 import { createServerChooser } from "./choose.js";
 import { forward, type ForwardTools } from "./forward.js";
 import { type GatewayRequest, headerBytes, readGatewayRequest } from "./gateway-request.js";
-import type { MessageHeaders } from "./message-headers.js";
 import { measureLoopLag } from "./loop-lag.js";
+import type { MessageHeaders } from "./message-headers.js";
 import { createServiceSplit } from "./service-split.js";
 
 /** Role that an entry tells its peers. */
--- a/packages/hyssopfront/src/registry/registry.steps.ts
+++ b/packages/hyssopfront/src/registry/registry.steps.ts
@@ -1,7 +1,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { createManualClock, type ManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
-import { type BackendRecord, BackendServerState } from "./backend-record.js";
+import type { BackendRecord, BackendServerState } from "./backend-record.js";
 import { createRegistry, type Registry } from "./registry.js";
 
 let clock: ManualClock;
--- a/packages/hyssopfront/src/registry/registry.ts
+++ b/packages/hyssopfront/src/registry/registry.ts
@@ -83,8 +83,9 @@
         }
         const old = before.record;
         const becameColder = coldUntil > now && coldUntil - Math.max(before.coldUntil, now) > COLD_CHANGE_MS;
-        return becameColder || (["startedAt", "state", "service", "address", "port", "availabilityZone", "slots"] as const)
-            .some(field => old[field] !== record[field]);
+        return becameColder ||
+            (["startedAt", "state", "service", "address", "port", "availabilityZone", "slots"] as const)
+                .some(field => old[field] !== record[field]);
     };
 
     const merge = (record: BackendRecord) => {
--- a/tools/run-features.mjs
+++ b/tools/run-features.mjs
@@ -94,7 +94,7 @@
     return { passed: attempts.size - failedAttempts.size, failed: failedAttempts.size };
 };
 
-const folders = listFolders(join(ROOT, "packages"))
+const folders = [join(ROOT, "packages"), join(ROOT, "platform")].flatMap(listFolders)
     .filter(hasFeature)
     .filter(folder => prefixes.length === 0 || prefixes.some(prefix => folder.startsWith(prefix)));
 /** Scenarios and experiments on whole deployments start a dozen processes each; side by side they would measure the machine. */
