--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -1,11 +1,5 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import {
-    createSystemClock,
-    listenForPeers,
-    NO_COUNTERS,
-    type PeerListener,
-    routePeerRequests,
-} from "@hyssopfront/coordination";
+import { createSystemClock, listenForPeers, type PeerListener, routePeerRequests } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
@@ -14,6 +8,7 @@
 import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
 import { ControlRequestKind, FeedPrefix } from "../gateway-control/messages.js";
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/start-gateway-control.js";
+import { createTextMetrics } from "../metrics/text-metrics.js";
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
 import type { MessageHeaders } from "./message-headers.js";
 import { type Gateway, startGateway } from "./start-gateway.js";
@@ -136,7 +131,7 @@
     await new Promise(resolve => entryProbe.close(resolve));
     gateway = await startGateway({
         clock,
-        counters: NO_COUNTERS,
+        metrics: createTextMetrics(),
         log: NO_EVENT_LOG,
         random: () => 0.5,
         hash: text => [...text].reduce((hash, letter) => Math.imul(hash ^ letter.charCodeAt(0), 16_777_619) >>> 0, 7),
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -1,7 +1,7 @@
 /**
  * An entry of the gateway: takes callers' requests and forwards them to backend servers.
  */
-import type { Clock, Counters, PeerIdentity } from "@hyssopfront/coordination";
+import type { Clock, PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Item } from "../catalog/items.js";
@@ -11,6 +11,7 @@
 import { memberName } from "../formation/member-peers.js";
 import { FeedPrefix } from "../gateway-control/messages.js";
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/start-gateway-control.js";
+import type { TextMetrics } from "../metrics/text-metrics.js";
 import type { EntryReport } from "../placement/entry-list.js";
 import { type BackendRecord, backendRecordSchema } from "../registry/backend-record.js";
 import { createRatioBudget, type RatioBudget } from "../routing/ratio-budget.js";
@@ -52,7 +53,7 @@
 
 export type GatewayOptions = {
     readonly clock: Clock;
-    readonly counters: Counters;
+    readonly metrics: TextMetrics;
     readonly log: EventLog;
     readonly random: () => number;
     /** Uniform hash of a text, 32 bits. */
@@ -85,7 +86,7 @@
 
 /** Starts an entry and resolves once it listens for callers. */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
-    const { clock, counters, log, names } = options;
+    const { clock, log, metrics, names } = options;
     const region = options.regionOf(options.availabilityZone);
     const catalog = createCatalogView();
     const timers = createTimers(clock);
@@ -94,7 +95,7 @@
         clock,
         random: options.random,
         regionOf: options.regionOf,
-        onConnect: () => counters.increment("gateway.connections_opened"),
+        onConnect: () => metrics.increment("gateway.connections_opened"),
     });
     const entryCounts = new Map<string, number>();
     const entryCount = () => Math.max(1, ...entryCounts.values());
@@ -158,7 +159,7 @@
     };
     const feeds = followFeeds({
         clock,
-        counters,
+        counters: metrics,
         log,
         self: identity,
         entry,
@@ -209,7 +210,7 @@
     });
     const tools: ForwardTools = {
         clock,
-        counters,
+        counters: metrics,
         log,
         timers,
         names,
@@ -266,7 +267,9 @@
         }
         const service = nextService(named);
         const outcome = await forward(tools, request, named.route, service, startedAt, caller);
-        counters.increment("gateway.requests", 1, { service, outcome });
+        const took = clock.monotonicMilliseconds() - startedAt;
+        metrics.increment("gateway.requests", 1, { service, outcome });
+        metrics.observe("gateway.request", took, { service, outcome });
         if (response.statusCode >= 400 || !response.headersSent) {
             log(EventLevel.Info, "request ended", {
                 request: id,
@@ -275,7 +278,7 @@
                 service,
                 outcome,
                 status: response.headersSent ? response.statusCode : undefined,
-                milliseconds: Math.round(clock.monotonicMilliseconds() - startedAt),
+                milliseconds: Math.round(took),
             });
         }
     };
--- a/packages/hyssopfront/src/metrics/metrics.feature
+++ b/packages/hyssopfront/src/metrics/metrics.feature
@@ -14,3 +14,8 @@
   Scenario: Invented tenants cannot claim memory without bound
     When latencies are recorded for 1000 tenants
     Then at most 257 histograms exist and none of the 1000 latencies is lost
+
+  # Guards against metrics that a monitoring system cannot read or tell apart.
+  Scenario: Metrics are served as text
+    When a request of stoc that took 120 ms is counted as text
+    Then the text has the counter, the gauge and the histogram with their labels
