--- a/packages/hyssopfront/src/command-line/app.ts
+++ b/packages/hyssopfront/src/command-line/app.ts
@@ -3,6 +3,7 @@
  */
 import { Builtins, Cli } from "clipanion";
 import { CheckCommand, ControlDaemonCommand, DevelopmentCommand, EntryDaemonCommand } from "./daemon-commands.js";
+import { ExplainCommand } from "./log-commands.js";
 import { ApplyCommand, DeleteCommand, DescribeCommand, GetCommand, WatchCommand } from "./resource-commands.js";
 import { HistogramsCommand, StatusCommand } from "./status-commands.js";
 import { DrainCommand, LookupCommand, ShiftCommand } from "./steering-commands.js";
@@ -27,6 +28,7 @@
         LookupCommand,
         StatusCommand,
         HistogramsCommand,
+        ExplainCommand,
     ].forEach(command => commandLine.register(command));
     return commandLine;
 }
--- a/packages/hyssopfront/src/command-line/commands.steps.ts
+++ b/packages/hyssopfront/src/command-line/commands.steps.ts
@@ -48,7 +48,7 @@
 const drainOf = (name: string) => ({ target: { backendServer: { service: "stoc", name } } });
 
 Then("the help of each command describes it and shows an example", async () => {
-    assert.equal(definitions.length, 14);
+    assert.equal(definitions.length, 15);
     const waiting = [...definitions];
     const work = async () => {
         for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
--- /dev/null
+++ b/packages/hyssopfront/src/event-log/event-log.steps.ts
@@ -0,0 +1,48 @@
+import { Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { join } from "node:path";
+import { findRequestStory } from "./request-story.js";
+
+setDefaultTimeout(30_000);
+
+const line = (time: number, instance: string, event: string, fields: object) =>
+    `12.5 ${instance} ${JSON.stringify({ level: "info", time, instance, role: "entry", ...fields, event })}`;
+
+let lines: readonly string[];
+let report: { readonly milliseconds: number; readonly dropped: number; readonly memoryBytes: number };
+
+Given("logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 was ejected there", () => {
+    lines = [
+        line(3_000, "entry-1", "request ended", { request: "q7", status: 502 }),
+        line(2_900, "entry-1", "attempt ended", { request: "q7", server: "stoc-1" }),
+        line(2_000, "entry-1", "backend server ejected", { server: "stoc-1" }),
+        line(2_000, "entry-2", "backend server ejected", { server: "stoc-1" }),
+        line(2_100, "entry-1", "backend server ejected", { server: "stoc-2" }),
+        line(3_500, "entry-1", "backend server ejected", { server: "stoc-1" }),
+        "not a line of the log",
+    ];
+});
+Then("the story of {word} is {string}", (id: string, story: string) => {
+    assert.equal(findRequestStory(lines, id).map(({ event }) => event).join(", "), story);
+});
+When("a process writes {int} lines to a pipe that nobody reads", async (count: number) => {
+    const child = spawn(process.execPath, [join(import.meta.dirname, "write-lines.ts"), String(count)], {
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    const chunks: Buffer[] = [];
+    child.stderr.on("data", (chunk: Buffer) => chunks.push(chunk));
+    await once(child.stderr, "end");
+    child.stdout.destroy();
+    child.kill("SIGKILL");
+    report = JSON.parse(Buffer.concat(chunks).toString()) as typeof report;
+});
+Then(
+    "it ends its work within {int} s, has dropped lines and holds less than {int} MiB",
+    (seconds: number, mebibytes: number) => {
+        assert.ok(report.milliseconds < seconds * 1_000, `It took ${report.milliseconds} ms.`);
+        assert.ok(report.dropped > 0);
+        assert.ok(report.memoryBytes < mebibytes * 1024 * 1024, `It holds ${report.memoryBytes} bytes.`);
+    },
+);
