--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -132,3 +132,9 @@
     Then the entry is not ready
     And each caller gets 200
     And the entry has stopped within 1000 ms
+
+  # Guards against requests that are sent on although their callers left while the process was busy.
+  Scenario: A delay of the event loop is still known when connections are read after it
+    When the event loop is busy for 200 ms
+    Then requests read after it count as having waited for at least 140 ms
+    And after 120 ms they count as having waited for less than 50 ms
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -10,6 +10,7 @@
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/start-gateway-control.js";
 import { createTextMetrics } from "../metrics/text-metrics.js";
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+import { type LoopLag, measureLoopLag } from "./loop-lag.js";
 import type { MessageHeaders } from "./message-headers.js";
 import { type Gateway, startGateway } from "./start-gateway.js";
 
@@ -43,6 +44,7 @@
 let askedAt: number;
 let stopped: Promise<void> | undefined;
 let lastRequest = 0;
+let lag: LoopLag;
 
 const head = (status: string, id: string, more: readonly string[] = []) =>
     [`HTTP/1.1 ${status}`, `${NAMES.requestId}: ${id}`, ...more, "", ""].join("\r\n");
@@ -348,3 +350,20 @@
     await stopped;
     assert.ok(Date.now() - askedAt <= milliseconds);
 });
+
+When("the event loop is busy for {int} ms", async (milliseconds: number) => {
+    lag = measureLoopLag(clock);
+    const endsAt = clock.monotonicMilliseconds() + milliseconds;
+    while (clock.monotonicMilliseconds() < endsAt) {
+        // Nothing else runs meanwhile.
+    }
+    await new Promise(resolve => setTimeout(resolve, 0));
+});
+Then("requests read after it count as having waited for at least {int} ms", (milliseconds: number) => {
+    assert.ok(lag.milliseconds() >= milliseconds, `They waited for ${lag.milliseconds()} ms.`);
+});
+Then("after {int} ms they count as having waited for less than {int} ms", async (pause: number, most: number) => {
+    await clock.sleep(pause);
+    assert.ok(lag.milliseconds() < most, `They waited for ${lag.milliseconds()} ms.`);
+    lag.close();
+});
--- a/packages/hyssopfront/src/gateway/loop-lag.ts
+++ b/packages/hyssopfront/src/gateway/loop-lag.ts
@@ -7,7 +7,10 @@
 const TICK_MS = 50;
 
 export type LoopLag = {
-    /** Milliseconds by which the timer is late now. */
+    /**
+     * Milliseconds for which a request that is read now may have waited: by which the timer is late, or was when it
+     * last ran, as timers run before connections are read.
+     */
     milliseconds(): number;
     /**
      * Lets the connections be read once more, so that a caller that has left meanwhile is noticed: what it sent before
@@ -21,12 +24,15 @@
 
 export function measureLoopLag(clock: Clock): LoopLag {
     let dueAt = clock.monotonicMilliseconds() + TICK_MS;
+    let lastLateness = 0;
     const timer = setInterval(() => {
-        dueAt = clock.monotonicMilliseconds() + TICK_MS;
+        const now = clock.monotonicMilliseconds();
+        lastLateness = now - dueAt;
+        dueAt = now + TICK_MS;
     }, TICK_MS);
     timer.unref();
     return {
-        milliseconds: () => Math.max(0, clock.monotonicMilliseconds() - dueAt),
+        milliseconds: () => Math.max(0, lastLateness, clock.monotonicMilliseconds() - dueAt),
         readConnections: async () => {
             await nextTurn();
             await nextTurn();
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -221,7 +221,10 @@
     };
 
     const serve = async (message: IncomingMessage, response: ServerResponse) => {
-        const startedAt = clock.monotonicMilliseconds();
+        const delay = lag.milliseconds();
+        const isBehind = delay > NOTICEABLE_LAG_MS;
+        // A request that waited to be read has used up that much of its time.
+        const startedAt = clock.monotonicMilliseconds() - (isBehind ? delay : 0);
         const id = String(message.headers[names.requestId] ?? "");
         const caller = createCallerAnswer(response, message.method ?? "GET", id, names, () => isStopping);
         const answer = (status: number, reason: string, retryAfterMilliseconds?: number) => {
@@ -256,8 +259,7 @@
             answer(404, "no route");
             return;
         }
-        const delay = lag.milliseconds();
-        if (delay > NOTICEABLE_LAG_MS) {
+        if (isBehind) {
             const urgency = LEAST_URGENT_PRIORITY - Math.min(LEAST_URGENT_PRIORITY, named.route.priority);
             if (delay > REFUSING_LAG_MS + urgency * REFUSING_LAG_STEP_MS) {
                 answer(503, "the entry is overloaded", OVERLOADED_RETRY_MS);
