Judge silence only while all control instances are in reach, and index limits and home regions

In a cut, a backend server announces itself on one side only; the majority took it for lost after 5.5 s, and all entries with it.

--- /dev/null
+++ b/packages/hyssopfront/src/gateway-control/member-contact.ts
@@ -0,0 +1,30 @@
+/**
+ * Whether this control instance can tell that a backend server has fallen silent: another one may hear of it.
+ */
+import type { Clock } from "@hyssopfront/coordination";
+
+/** An instance that has been out of reach for this long is taken for gone, in milliseconds. */
+const GONE_AFTER_MS = 30_000;
+
+export type MemberContact = {
+    /** Notes which of the other instances are connected now. */
+    update(others: readonly string[], connected: ReadonlySet<string>): void;
+    /** Time since when every other instance that is not gone has been connected, in milliseconds. */
+    completeForMilliseconds(): number;
+};
+
+export function createMemberContact(clock: Clock): MemberContact {
+    const seenAt = new Map<string, number>();
+    let incompleteAt = clock.monotonicMilliseconds();
+    return {
+        update: (others, connected) => {
+            const now = clock.monotonicMilliseconds();
+            others.forEach(name => seenAt.set(name, connected.has(name) ? now : seenAt.get(name) ?? now));
+            const isMissing = (name: string) => !connected.has(name) && now - (seenAt.get(name) ?? now) < GONE_AFTER_MS;
+            if (others.length === 0 || others.some(isMissing)) {
+                incompleteAt = now;
+            }
+        },
+        completeForMilliseconds: () => clock.monotonicMilliseconds() - incompleteAt,
+    };
+}
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -16,9 +16,11 @@
 import { createFormation, JOIN_REQUEST } from "../formation/formation.js";
 import { createMemberPeers, memberName } from "../formation/member-peers.js";
 import { chooseEntries, createEntryList, type EntryReport, entryReportSchema } from "../placement/entry-list.js";
+import { createHomeRegions } from "../placement/home-regions.js";
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
 import { createRegistry } from "../registry/registry.js";
 import { createCatalogGroup } from "./catalog-group.js";
+import { createMemberContact } from "./member-contact.js";
 import { ControlRequestKind, FeedPrefix, proposeSchema, readFeedSchema, recordsSchema } from "./messages.js";
 import { createRecordSharing } from "./record-sharing.js";
 
@@ -31,7 +33,7 @@
 /** Pause before an instance tries again to learn what was acknowledged before its start, in milliseconds. */
 const CATCH_UP_PAUSE_MS = 200;
 const CATCH_UP_DEADLINE_MS = 2_000;
-/** Contact with a majority for this many heartbeats, before silence of a backend server says anything. */
+/** Contact with all control instances for this many heartbeats, before silence of a backend server says anything. */
 const LOSS_HEARTBEATS = 4;
 
 export type GatewayControlOptions = {
@@ -144,12 +146,14 @@
         dataFolder: options.dataFolder,
         firstVoters: options.isFirstStart && seeds().includes(self) ? seeds() : [],
         peers,
-        onItems: items =>
+        onItems: items => {
+            homeRegions.refresh();
             items.forEach(item => {
                 const { kind, name, version } = item;
                 log(EventLevel.Info, "item changed", { kind, name, version, isDropped: item.value === undefined });
                 feed.set(FeedPrefix.Item + itemKey(kind, name), () => ({ ...item, source: undefined }));
-            }),
+            });
+        },
         onStatus: status => {
             const names = status.members.map(member => member.name);
             if (names.length > 0 && names.join() !== members.join()) {
@@ -158,6 +162,7 @@
             }
         },
     });
+    const homeRegions = createHomeRegions(catalog.items);
     const formation = createFormation({
         clock,
         self,
@@ -218,20 +223,13 @@
         }),
     });
 
-    /** Time at which this instance last had no contact with a majority of the control instances. */
-    let cutOffAt = clock.monotonicMilliseconds();
+    const contact = createMemberContact(clock);
     const expireRecords = async () => {
         while (!signal.aborted) {
             await clock.sleep(EXPIRY_INTERVAL_MS, signal).catch(() => undefined);
-            const connected = new Set(peers.connected());
-            const reached = others().filter(name => connected.has(name)).length + 1;
-            const now = clock.monotonicMilliseconds();
-            if (members.length === 0 || reached * 2 <= members.length) {
-                cutOffAt = now;
-            }
-            // A backend server that this instance has not heard of may have reached the others.
-            if (now - cutOffAt > options.heartbeatMilliseconds * LOSS_HEARTBEATS) {
-                registry.expire().forEach(({ id }) => counters.increment("registry.lost", 1, { id }));
+            contact.update(others(), new Set(peers.connected()));
+            if (contact.completeForMilliseconds() > options.heartbeatMilliseconds * LOSS_HEARTBEATS) {
+                registry.expire().forEach(({ service }) => counters.increment("registry.lost", 1, { service }));
             }
             entries.present();
         }
@@ -266,12 +264,7 @@
             await catalog.catchUp(deadlineMilliseconds);
             return catalog.items().filter(item => item.value !== undefined && item.kind !== ItemKind.Evacuation);
         },
-        findEntries: (host, callerRegion) => {
-            const homeRegions = catalog.items().flatMap(({ value }) =>
-                value?.kind === ItemKind.Route && value.route.host === host ? value.route.homeRegions : []
-            );
-            return chooseEntries(entries.present(), callerRegion, homeRegions);
-        },
+        findEntries: (host, callerRegion) => chooseEntries(entries.present(), callerRegion, homeRegions.of(host)),
         voters: () =>
             (catalog.replica()?.status().members ?? []).filter(({ isVoter }) => isVoter).map(({ name }) => name),
         stop: async () => {
--- a/packages/hyssopfront/src/gateway/catalog-view.ts
+++ b/packages/hyssopfront/src/gateway/catalog-view.ts
@@ -30,6 +30,7 @@
     /** Routes of each host, those with longer prefixes first. */
     let routesByHost = new Map<string, readonly NamedRoute[]>();
     let isIndexCurrent = true;
+    let limits = DEFAULT_LIMITS;
 
     const indexRoutes = () => {
         const routes = [...items.values()].flatMap(({ name, version, value }) =>
@@ -52,6 +53,9 @@
             }
             items.set(key, item);
             isIndexCurrent &&= item.kind !== ItemKind.Route;
+            if (item.kind === ItemKind.Limits) {
+                limits = item.value?.kind === ItemKind.Limits ? item.value.limits : DEFAULT_LIMITS;
+            }
             return true;
         },
         findRoute: (host, path) => {
@@ -64,10 +68,7 @@
             const value = valueOf(ItemKind.Service, service);
             return value?.kind === ItemKind.Service ? value.policy : undefined;
         },
-        limits: () => {
-            const value = [...items.values()].find(item => item.kind === ItemKind.Limits)?.value;
-            return value?.kind === ItemKind.Limits ? value.limits : DEFAULT_LIMITS;
-        },
+        limits: () => limits,
         isEvacuated: availabilityZone => {
             const value = valueOf(ItemKind.Evacuation, availabilityZone);
             return value?.kind === ItemKind.Evacuation && value.isActive;
--- /dev/null
+++ b/packages/hyssopfront/src/placement/home-regions.ts
@@ -0,0 +1,35 @@
+/**
+ * Regions to which the routes of a host are bound.
+ */
+import { type Item, ItemKind } from "../catalog/items.js";
+
+export type HomeRegions = {
+    /** Regions that some route of the host is bound to; empty when none is. */
+    of(host: string): readonly string[];
+    /** Makes the next question look at the items again. */
+    refresh(): void;
+};
+
+/** Answers from an index, since every look-up asks. */
+export function createHomeRegions(items: () => readonly Item[]): HomeRegions {
+    let byHost: Map<string, readonly string[]> | undefined;
+    const index = () => {
+        const indexed = new Map<string, readonly string[]>();
+        items().forEach(({ value }) => {
+            if (value?.kind === ItemKind.Route && value.route.homeRegions.length > 0) {
+                const { host, homeRegions } = value.route;
+                indexed.set(host, [...indexed.get(host) ?? [], ...homeRegions]);
+            }
+        });
+        return indexed;
+    };
+    return {
+        of: host => {
+            byHost ??= index();
+            return byHost.get(host) ?? [];
+        },
+        refresh: () => {
+            byHost = undefined;
+        },
+    };
+}
--- /dev/null
+++ b/packages/hyssopfront/src/placement/placement.feature
@@ -0,0 +1,29 @@
+Feature: Entries that callers are told to use
+
+  Background:
+    Given entry a in region moldova, entry b in region muntenia and entry c in region muntenia
+
+  Scenario: Callers get the ready entries of their region
+    When entry b is not ready
+    Then a caller in muntenia for an unbound host is told c
+
+  # Guards against bodies of a bound route that go to a region where they must not be.
+  Scenario: Without an entry of their region, callers of a bound host get those of its home regions
+    When entry a is not ready
+    Then a caller in moldova for a host bound to muntenia is told b and c
+    And a caller in moldova for an unbound host is told b and c
+
+  # Guards against callers that are sent to an entry that is gone.
+  Scenario: An entry whose connection is lost is not listed any more
+    When the connection of entry c is lost and 1600 ms pass
+    Then a caller in muntenia for an unbound host is told b
+
+  # Guards against backend servers that are given up for silent although the other side of a cut hears them.
+  Scenario: Silence says nothing while a control instance is out of reach
+    Given control instances one and two as the others
+    When both are connected for 6000 ms
+    Then contact is complete for 6000 ms
+    When two is out of reach for 8000 ms
+    Then contact is complete for 0 ms
+    When two stays out of reach for 40000 ms
+    Then contact is complete for more than 6000 ms
