--- a/packages/hyssopfront/src/event-log/create-event-log.ts
+++ b/packages/hyssopfront/src/event-log/create-event-log.ts
@@ -1,6 +1,7 @@
 /**
  * Event log on standard output, as lines of JSON.
  */
+import type { Clock } from "@hyssopfront/coordination";
 import { pino } from "pino";
 import { EventLevel, type EventLog } from "./event-log.js";
 
@@ -10,19 +11,40 @@
 /** Bytes that may wait for a reader that does not read; lines beyond are dropped and counted. */
 const MAXIMUM_WAITING_BYTES = 1024 * 1024;
 
+/** Lines a second about requests that did not fail; such lines tell much the same when there are more. */
+const REQUEST_LINES_A_SECOND = 100;
+const SECOND_MS = 1_000;
+
 export type ProcessEventLog = {
     readonly log: EventLog;
     /** Writes what waits, before the process ends. */
     flush(): void;
 };
 
+/** Lets a number of events a second through. */
+function createSecondLimit(clock: Clock, maximum: number): () => boolean {
+    let startedAt = -Infinity;
+    let count = 0;
+    return () => {
+        const now = clock.monotonicMilliseconds();
+        if (now - startedAt >= SECOND_MS) {
+            startedAt = now;
+            count = 0;
+        }
+        count += 1;
+        return count <= maximum;
+    };
+}
+
 /**
  * Creates the log of a process. Writing never blocks: what a slow reader does not take in time is dropped.
+ * Of the lines about requests, those of level Info are limited; failures have a higher level.
  *
  * @param fields Fields of every line, such as the name of the instance.
  * @param onDropped Called for each dropped line.
  */
 export function createEventLog(
+    clock: Clock,
     fields: Readonly<Record<string, unknown>>,
     onDropped: () => void,
 ): ProcessEventLog {
@@ -40,8 +62,13 @@
         messageKey: "event",
         formatters: { level: label => ({ level: label }) },
     }, destination);
+    const hasRoom = createSecondLimit(clock, REQUEST_LINES_A_SECOND);
     return {
         log: (level, event, more = {}) => {
+            if (level === EventLevel.Info && more.request !== undefined && !hasRoom()) {
+                onDropped();
+                return;
+            }
             switch (level) {
                 case EventLevel.Info:
                     logger.info(more, event);
--- a/packages/hyssopfront/src/event-log/event-log.steps.ts
+++ b/packages/hyssopfront/src/event-log/event-log.steps.ts
@@ -3,14 +3,25 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { join } from "node:path";
-import { findRequestStory } from "./request-story.js";
+import type { Readable } from "node:stream";
+import { findRequestStory, type LoggedEvent, parseLogLine } from "./request-story.js";
 
 setDefaultTimeout(30_000);
 
 const line = (time: number, instance: string, event: string, fields: object) =>
     `12.5 ${instance} ${JSON.stringify({ level: "info", time, instance, role: "entry", ...fields, event })}`;
 
+const readAll = async (stream: Readable) => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of stream) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks).toString();
+};
+
 let lines: readonly string[];
+let written: readonly LoggedEvent[];
+let droppedLines: number;
 let report: { readonly milliseconds: number; readonly dropped: number; readonly memoryBytes: number };
 
 Given("logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 was ejected there", () => {
@@ -46,3 +57,20 @@
         assert.ok(report.memoryBytes < mebibytes * 1024 * 1024, `It holds ${report.memoryBytes} bytes.`);
     },
 );
+When("a process writes {int} lines about requests at once, every tenth about a failure", async (count: number) => {
+    const child = spawn(process.execPath, [join(import.meta.dirname, "write-mixed-lines.ts"), String(count)], {
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    const [output, errors] = await Promise.all([readAll(child.stdout), readAll(child.stderr)]);
+    written = output.split("\n").map(parseLogLine).filter(event => event !== undefined);
+    droppedLines = (JSON.parse(errors) as { readonly dropped: number }).dropped;
+});
+Then(
+    "{int} lines are about requests that did not fail and {int} about failures",
+    (others: number, failures: number) => {
+        assert.equal(written.length, others + failures);
+        const isFailure = ({ fields }: LoggedEvent) => String(fields.request).endsWith("0");
+        assert.equal(written.filter(isFailure).length, failures);
+    },
+);
+Then("{int} lines are counted as dropped", (count: number) => assert.equal(droppedLines, count));
--- a/packages/hyssopfront/src/event-log/write-lines.ts
+++ b/packages/hyssopfront/src/event-log/write-lines.ts
@@ -1,6 +1,7 @@
 /**
  * Writes many log lines and tells on standard error what that took; for the test of a reader that does not read.
  */
+import { createSystemClock } from "@hyssopfront/coordination";
 import { writeSync } from "node:fs";
 import { createEventLog } from "./create-event-log.js";
 import { EventLevel } from "./event-log.js";
@@ -8,13 +9,13 @@
 const count = Number(process.argv[2]);
 const LINES_A_TURN = 1_000;
 let dropped = 0;
-const { log } = createEventLog({ instance: "test" }, () => {
+const { log } = createEventLog(createSystemClock(), { instance: "test" }, () => {
     dropped += 1;
 });
 const startedAt = performance.now();
 for (let written = 0; written < count; written += LINES_A_TURN) {
     Array.from({ length: LINES_A_TURN }).forEach((_, index) =>
-        log(EventLevel.Info, "attempt ended", { request: `q${written + index}`, reason: "x".repeat(60) })
+        log(EventLevel.Warning, "request ended", { request: `q${written + index}`, reason: "x".repeat(60) })
     );
     await new Promise(resolve => setImmediate(resolve));
 }
--- /dev/null
+++ b/packages/hyssopfront/src/event-log/write-mixed-lines.ts
@@ -0,0 +1,18 @@
+/**
+ * Writes lines about requests, every tenth about a failure, and tells on standard error how many were dropped.
+ */
+import { createManualClock } from "@hyssopfront/coordination";
+import { createEventLog } from "./create-event-log.js";
+import { EventLevel } from "./event-log.js";
+
+const count = Number(process.argv[2]);
+const FAILURE_EVERY = 10;
+let dropped = 0;
+const { log, flush } = createEventLog(createManualClock(), { instance: "test" }, () => {
+    dropped += 1;
+});
+Array.from({ length: count }).forEach((_, index) =>
+    log(index % FAILURE_EVERY === 0 ? EventLevel.Warning : EventLevel.Info, "request ended", { request: `q${index}` })
+);
+flush();
+process.stderr.write(JSON.stringify({ dropped }));
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -8,7 +8,7 @@
 import type { Timers } from "../routing/timers.js";
 import type { BackendServer, BackendServers } from "./backend-servers.js";
 import type { CallerAnswer } from "./caller-answer.js";
-import { NoServer, type ServerChooser } from "./choose.js";
+import { estimateLoad, NoServer, type ServerChooser } from "./choose.js";
 import { type Dispatch, dispatch, DispatchEnd, type DispatchResult } from "./dispatch.js";
 import type { GatewayRequest } from "./gateway-request.js";
 import type { MessageHeaders } from "./message-headers.js";
@@ -191,7 +191,7 @@
                     caller.answer({ status: 502 });
                     return ForwardOutcome.Failed;
                 }
-                return refuse(ForwardOutcome.NoServer);
+                return refuse(journey.sends > 0 ? ForwardOutcome.Refused : ForwardOutcome.NoServer);
             }
             const first = hasWaited ? undefined : server.warmUp.waitFor(affinityKey ?? "");
             if (first !== undefined) {
@@ -200,6 +200,8 @@
                 continue;
             }
             const noteEnd = affinityKey === undefined ? undefined : server.warmUp.begin(affinityKey);
+            const sentAt = clock.monotonicMilliseconds();
+            const load = estimateLoad(server);
             const result = await send(server);
             noteEnd?.(result.end === DispatchEnd.Answered && (result.head?.status ?? 0) < 300);
             const { head, body, end } = result;
@@ -207,7 +209,8 @@
                 || (end === DispatchEnd.Answered && isServerFailure(head?.status ?? 0));
             const isRepeatable = (isFailedRun && route.isIdempotent)
                 || end === DispatchEnd.Refused || end === DispatchEnd.Replaced || end === DispatchEnd.NotSent;
-            if (end !== DispatchEnd.Answered || isFailedRun) {
+            const took = clock.monotonicMilliseconds() - sentAt;
+            if (end !== DispatchEnd.Answered || isFailedRun || took > route.latencyObjectiveMilliseconds) {
                 log(EventLevel.Info, "attempt ended", {
                     request: request.id,
                     service,
@@ -215,6 +218,9 @@
                     end,
                     status: head?.status,
                     reason: result.message,
+                    milliseconds: Math.round(took),
+                    load: Math.round(load),
+                    slots: server.record.slots,
                     remaining: Math.round(remaining()),
                 });
             }
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -138,3 +138,19 @@
     When the event loop is busy for 200 ms
     Then requests read after it count as having waited for at least 140 ms
     And after 120 ms they count as having waited for less than 50 ms
+
+  # Guards against failed requests that on-call engineers cannot explain from the log.
+  Scenario Outline: Each outcome of a failed request leaves a line with its id
+    Given orders-1 of orders <behaviour>
+    When a caller asks orders
+    Then the log tells that the request ended as <outcome> and what orders-1 did
+
+    Examples:
+      | behaviour             | outcome   |
+      | resets                | failed    |
+      | refuses               | refused   |
+      | falls silent          | timed-out |
+
+  Scenario: A request without any backend server leaves a line with its id
+    When a caller asks orders
+    Then the log tells that the request ended as no-server
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -4,7 +4,6 @@
 import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
-import { NO_EVENT_LOG } from "../event-log/event-log.js";
 import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
 import { ControlRequestKind, FeedPrefix } from "../gateway-control/messages.js";
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/start-gateway-control.js";
@@ -45,6 +44,7 @@
 let stopped: Promise<void> | undefined;
 let lastRequest = 0;
 let lag: LoopLag;
+let events: { readonly event: string; readonly [field: string]: unknown }[];
 
 const head = (status: string, id: string, more: readonly string[] = []) =>
     [`HTTP/1.1 ${status}`, `${NAMES.requestId}: ${id}`, ...more, "", ""].join("\r\n");
@@ -134,7 +134,7 @@
     gateway = await startGateway({
         clock,
         metrics: createTextMetrics(),
-        log: NO_EVENT_LOG,
+        log: (_level, event, fields) => void events.push({ event, ...fields }),
         random: () => 0.5,
         hash: text => [...text].reduce((hash, letter) => Math.imul(hash ^ letter.charCodeAt(0), 16_777_619) >>> 0, 7),
         name: "entry-1",
@@ -258,6 +258,7 @@
 Given("an entry with a route to stoc for repeatable requests and one to orders for others", async () => {
     standIns = new Map();
     answers = [];
+    events = [];
     await startEntry(true);
 });
 Given("an entry that knows no catalog", async () => {
@@ -367,3 +368,13 @@
     assert.ok(lag.milliseconds() < most, `They waited for ${lag.milliseconds()} ms.`);
     lag.close();
 });
+const assertEnded = (outcome: string) => {
+    const ended = events.find(({ event }) => event === "request ended");
+    assert.deepEqual([ended?.request, ended?.outcome], [`q${lastRequest}`, outcome]);
+};
+Then("the log tells that the request ended as {word}", assertEnded);
+Then("the log tells that the request ended as {word} and what {word} did", (outcome: string, server: string) => {
+    assertEnded(outcome);
+    const attempt = events.find(({ event }) => event === "attempt ended");
+    assert.deepEqual([attempt?.request, attempt?.server], [`q${lastRequest}`, server]);
+});
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -228,7 +228,7 @@
         const id = String(message.headers[names.requestId] ?? "");
         const caller = createCallerAnswer(response, message.method ?? "GET", id, names, () => isStopping);
         const answer = (status: number, reason: string, retryAfterMilliseconds?: number) => {
-            log(EventLevel.Info, "request answered", { request: id, status, reason, path: message.url });
+            log(EventLevel.Warning, "request answered", { request: id, status, reason, path: message.url });
             caller.answer({ status, retryAfterMilliseconds });
         };
         if (!isCatalogComplete) {
@@ -272,8 +272,9 @@
         const took = clock.monotonicMilliseconds() - startedAt;
         metrics.increment("gateway.requests", 1, { service, outcome });
         metrics.observe("gateway.request", took, { service, outcome });
-        if (response.statusCode >= 400 || !response.headersSent) {
-            log(EventLevel.Info, "request ended", {
+        const hasFailed = response.statusCode >= 400 || !response.headersSent;
+        if (hasFailed || took > named.route.latencyObjectiveMilliseconds) {
+            log(hasFailed ? EventLevel.Warning : EventLevel.Info, "request ended", {
                 request: id,
                 route: named.name,
                 version: named.version,
@@ -281,6 +282,8 @@
                 outcome,
                 status: response.headersSent ? response.statusCode : undefined,
                 milliseconds: Math.round(took),
+                objective: named.route.latencyObjectiveMilliseconds,
+                delay: Math.round(delay),
             });
         }
     };
