--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -4,8 +4,8 @@
 import type { Clock } from "@hyssopfront/coordination";
 import { type BackendRecord, BackendServerState, isNewerRecord } from "../registry/backend-record.js";
 import { type BackendConnections, createBackendConnections } from "../routing/backend-connections.js";
-import { createHealth, type Health } from "./health.js";
-import { createWarmUp, type WarmUp } from "./warm-up.js";
+import { createHealth, type Health } from "./choice/health.js";
+import { createWarmUp, type WarmUp } from "./choice/warm-up.js";
 
 /** A connection attempt across two regions takes well under this, in milliseconds; a dark server never answers. */
 const CONNECT_DEADLINE_MS = 400;
--- a/packages/hyssopfront/src/gateway/catalog-view.ts
+++ b/packages/hyssopfront/src/gateway/catalog-view.ts
@@ -21,6 +21,8 @@
     policyOf(service: string): ServicePolicy | undefined;
     limits(): CallerLimits;
     isEvacuated(availabilityZone: string): boolean;
+    /** Changes whenever an evacuation begins or ends. */
+    evacuationGeneration(): number;
     items(): readonly Item[];
 };
 
@@ -31,6 +33,7 @@
     let routesByHost = new Map<string, readonly NamedRoute[]>();
     let isIndexCurrent = true;
     let limits = DEFAULT_LIMITS;
+    let evacuationGeneration = 0;
 
     const indexRoutes = () => {
         const routes = [...items.values()].flatMap(({ name, version, value }) =>
@@ -53,6 +56,7 @@
             }
             items.set(key, item);
             isIndexCurrent &&= item.kind !== ItemKind.Route;
+            evacuationGeneration += item.kind === ItemKind.Evacuation ? 1 : 0;
             if (item.kind === ItemKind.Limits) {
                 limits = item.value?.kind === ItemKind.Limits ? item.value.limits : DEFAULT_LIMITS;
             }
@@ -73,6 +77,7 @@
             const value = valueOf(ItemKind.Evacuation, availabilityZone);
             return value?.kind === ItemKind.Evacuation && value.isActive;
         },
+        evacuationGeneration: () => evacuationGeneration,
         items: () => [...items.values()],
     };
 }
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/choice/choose.feature
@@ -0,0 +1,35 @@
+Feature: Choice of the backend server of an object
+
+  Background:
+    Given regions north and south with 4 backend servers of 6 slots each, in two zones a region
+
+  # Guards against bytes between regions for objects that have room at home.
+  Scenario: Objects stay in their region while it has its share of the slots
+    Then 100 of 100 objects from north are in north
+
+  # Guards against a region that is pushed past its slots while others have some left.
+  Scenario: When a zone is evacuated, objects without room at home go to the other region
+    When zone north-a is evacuated
+    Then between 50 and 84 of 100 objects from north are in north
+    And no object is in zone north-a
+
+  # Guards against objects that move although nothing about their backend server has changed.
+  Scenario: A backend server that goes moves its own objects and those without room at home
+    When each of 100 objects from north has a backend server
+    And backend server north-a-1 goes
+    Then objects of other backend servers stay there or leave north, at most 30 of them
+
+  # Guards against backend servers that each see every object and know none.
+  Scenario: A busy backend server shares its objects with one other
+    When all backend servers have 17 requests of 6 slots, and north-a-1 has 18
+    Then each object of north-a-1 goes to the next backend server in its order
+    When all backend servers have 18 requests of 6 slots
+    Then there is no room
+
+  # Guards against refusals while a backend server has slots free.
+  Scenario: When both backend servers of an object are full, one with free slots takes it
+    When all backend servers but south-b-2 have 18 requests of 6 slots
+    Then each object goes to south-b-2
+
+  Scenario: A bound route is kept in its home regions
+    Then each object from north that is bound to south is in south
--- a/packages/hyssopfront/src/gateway/choose.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.ts
@@ -2,8 +2,8 @@
  * Chooses the backend server of a request: the one that has handled its object before, unless that one has no room.
  */
 import type { Clock } from "@hyssopfront/coordination";
-import type { ServicePolicy } from "../catalog/items.js";
-import type { BackendServer, BackendServers } from "./backend-servers.js";
+import type { ServicePolicy } from "../../catalog/items.js";
+import type { BackendServer, BackendServers } from "../backend-servers.js";
 import { HealthState } from "./health.js";
 import { planRegionShares, rankByWeight } from "./placement-plan.js";
 
@@ -48,6 +48,8 @@
     readonly hash: (text: string) => number;
     readonly policyOf: (service: string) => ServicePolicy | undefined;
     readonly isEvacuated: (availabilityZone: string) => boolean;
+    /** Changes whenever the evacuations change. */
+    readonly evacuationGeneration: () => number;
     /** Entries that share the backend servers with this one, itself included. */
     readonly entryCount: () => number;
 };
@@ -63,9 +65,9 @@
 
 export function createServerChooser(options: ServerChooserOptions): ServerChooser {
     const { clock, servers, hash } = options;
-    /** Order of the backend servers of a service for a key; valid for one generation. */
+    /** Order of the backend servers of a service for a key; valid while neither they nor the evacuations change. */
     let rankings = new Map<string, readonly BackendServer[]>();
-    let rankedGeneration = -1;
+    let rankedGeneration = "";
 
     const weightsOf = (candidates: readonly BackendServer[]) => {
         const slots = new Map<string, number>();
@@ -76,16 +78,19 @@
     };
 
     const rank = (service: string, key: string) => {
-        if (rankedGeneration !== servers.generation) {
+        const generation = `${servers.generation}/${options.evacuationGeneration()}`;
+        if (rankedGeneration !== generation) {
             rankings = new Map();
-            rankedGeneration = servers.generation;
+            rankedGeneration = generation;
         }
         const cacheKey = `${service} ${key}`;
         const known = rankings.get(cacheKey);
         if (known !== undefined) {
             return known;
         }
-        const candidates = servers.usable(service);
+        // Without evacuated zones, so that what they leave without room at home goes where capacity is left.
+        const candidates = servers.usable(service)
+            .filter(server => !options.isEvacuated(server.record.availabilityZone));
         const ranking = rankByWeight(candidates, weightsOf(candidates), server => hash(`${key} ${addressOf(server)}`));
         rankings.set(cacheKey, ranking);
         return ranking;
@@ -112,7 +117,6 @@
             const allowed = rank(service, request.affinityKey).filter(server =>
                 !excluded.has(server.record.id)
                 && (homeRegions.length === 0 || homeRegions.includes(server.region))
-                && !options.isEvacuated(server.record.availabilityZone)
             );
             if (allowed.length === 0) {
                 return NoServer.None;
@@ -124,7 +128,8 @@
                     && hasColdRoom(server, policy);
             });
             const chosen = able.slice(0, CANDIDATES)
-                .find(server => estimateLoad(server) < server.record.slots * (1 + WAITING_SHARE));
+                .find(server => estimateLoad(server) < server.record.slots * (1 + WAITING_SHARE))
+                ?? able.find(server => estimateLoad(server) < server.record.slots);
             if (chosen === undefined) {
                 return NoServer.NoRoom;
             }
--- a/packages/hyssopfront/src/gateway/service-split.ts
+++ b/packages/hyssopfront/src/gateway/choice/service-split.ts
@@ -1,7 +1,7 @@
 /**
  * Splits the requests of a route among its services in the proportions of their weights.
  */
-import type { WeightedService } from "../catalog/items.js";
+import type { WeightedService } from "../../catalog/items.js";
 
 /**
  * Creates a split that follows the weights as closely as whole requests allow (smooth weighted round robin), so that
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -8,7 +8,7 @@
 import type { Timers } from "../routing/timers.js";
 import type { BackendServer, BackendServers } from "./backend-servers.js";
 import type { CallerAnswer } from "./caller-answer.js";
-import { estimateLoad, NoServer, type ServerChooser } from "./choose.js";
+import { estimateLoad, NoServer, type ServerChooser } from "./choice/choose.js";
 import { type Dispatch, dispatch, DispatchEnd, type DispatchResult } from "./dispatch.js";
 import type { GatewayRequest } from "./gateway-request.js";
 import type { MessageHeaders } from "./message-headers.js";
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -20,12 +20,12 @@
 import { createBackendServers } from "./backend-servers.js";
 import { createCallerAnswer } from "./caller-answer.js";
 import { createCatalogView, type NamedRoute } from "./catalog-view.js";
-import { createServerChooser } from "./choose.js";
+import { createServerChooser } from "./choice/choose.js";
+import { createServiceSplit } from "./choice/service-split.js";
 import { forward, type ForwardTools } from "./forward.js";
 import { type GatewayRequest, headerBytes, readGatewayRequest } from "./gateway-request.js";
 import { measureLoopLag } from "./loop-lag.js";
 import type { MessageHeaders } from "./message-headers.js";
-import { createServiceSplit } from "./service-split.js";
 
 /** Role that an entry tells its peers. */
 const ENTRY_ROLE = "gateway-entry";
@@ -206,6 +206,7 @@
         hash: options.hash,
         policyOf: catalog.policyOf,
         isEvacuated: catalog.isEvacuated,
+        evacuationGeneration: catalog.evacuationGeneration,
         entryCount,
     });
     const tools: ForwardTools = {
