--- a/packages/hyssopfront/src/gateway-control/control.feature
+++ b/packages/hyssopfront/src/gateway-control/control.feature
@@ -35,3 +35,13 @@
     When instances 2, 3 and 4 are killed
     And a backend server announces at instance 1 that it drains
     Then it is not acknowledged
+
+  # Guards against backend servers that are given up for silent although the other side of a cut hears them.
+  Scenario: Silence says nothing while a control instance is out of reach
+    Given control instances one and two as the others
+    When both are connected for 6000 ms
+    Then contact is complete for 6000 ms
+    When two is out of reach for 8000 ms
+    Then contact is complete for 0 ms
+    When two stays out of reach for 40000 ms
+    Then contact is complete for more than 6000 ms
--- a/packages/hyssopfront/src/gateway-control/control.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/control.steps.ts
@@ -1,5 +1,5 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { createSystemClock } from "@hyssopfront/coordination";
+import { createManualClock, createSystemClock, type ManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
@@ -7,7 +7,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
+import { createMemberContact, type MemberContact } from "./member-contact.js";
 
+/** Pause between two looks at the connections, in milliseconds. */
+const LOOK_MS = 500;
 const clock = createSystemClock();
 /** Loopback addresses of this file's instances; ports are taken from the process id, as test processes run together. */
 const addressOf = (number: number) => `127.0.7.${number}`;
@@ -18,16 +21,20 @@
 type Reply = { readonly id: number; readonly value?: unknown; readonly error?: string };
 type Instance = { readonly child: ChildProcess; readonly ask: (call: string, argument?: unknown) => Promise<unknown> };
 
-let folder: string;
+let folder: string | undefined;
 let instances: Map<number, Instance>;
 let wasAcknowledged: unknown;
 let drains = 0;
+let manualClock: ManualClock;
+let contact: MemberContact;
+
+const folderOf = (number: number) => join(folder ?? "", String(number));
 
 async function start(number: number, isFirstStart: boolean): Promise<void> {
     const options = {
         address: addressOf(number),
         peerPort: PEER_PORT,
-        dataFolder: join(folder, String(number)),
+        dataFolder: folderOf(number),
         isFirstStart,
         seeds: [1, 2, 3].map(addressOf),
     };
@@ -70,8 +77,12 @@
 const votersAt = async (number: number) => (await instances.get(number)?.ask("voters") as string[]).sort();
 
 After(async () => {
+    if (folder === undefined) {
+        return;
+    }
     await Promise.all([...instances.keys()].map(kill));
     rmSync(folder, { recursive: true, force: true });
+    folder = undefined;
 });
 
 Given("{int} control instances that start for the first time, 3 of them seeds", async (count: number) => {
@@ -103,7 +114,7 @@
 });
 When("all instances are killed and instances 1 and 2 lose their disks", async () => {
     await Promise.all([...instances.keys()].map(kill));
-    [1, 2].forEach(number => rmSync(join(folder, String(number)), { recursive: true }));
+    [1, 2].forEach(number => rmSync(folderOf(number), { recursive: true }));
 });
 When("all instances start again", async () => {
     await Promise.all([1, 2, 3, 4, 5].map(number => start(number, false)));
@@ -130,3 +141,23 @@
 When("instances 2, 3 and 4 are killed", () => Promise.all([2, 3, 4].map(kill)));
 Then("it is acknowledged", () => assert.equal(wasAcknowledged, true));
 Then("it is not acknowledged", () => assert.equal(wasAcknowledged, false));
+const look = async (milliseconds: number, connected: readonly string[]) => {
+    for (let passed = 0; passed < milliseconds; passed += LOOK_MS) {
+        await manualClock.advance(LOOK_MS);
+        contact.update(["one", "two"], new Set(connected));
+    }
+};
+
+Given("control instances one and two as the others", () => {
+    manualClock = createManualClock();
+    contact = createMemberContact(manualClock);
+});
+When("both are connected for {int} ms", (milliseconds: number) => look(milliseconds, ["one", "two"]));
+When("two is out of reach for {int} ms", (milliseconds: number) => look(milliseconds, ["one"]));
+When("two stays out of reach for {int} ms", (milliseconds: number) => look(milliseconds, ["one"]));
+Then("contact is complete for {int} ms", (milliseconds: number) => {
+    assert.equal(contact.completeForMilliseconds(), milliseconds);
+});
+Then("contact is complete for more than {int} ms", (milliseconds: number) => {
+    assert.ok(contact.completeForMilliseconds() > milliseconds);
+});
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/entry-view.ts
@@ -0,0 +1,75 @@
+/**
+ * What an entry has learned from the feeds of the control instances.
+ */
+import type { Item } from "../catalog/items.js";
+import { EventLevel, type EventLog } from "../event-log/event-log.js";
+import type { FeedBatch } from "../feed/change-feed.js";
+import { FeedPrefix } from "../gateway-control/messages.js";
+import { type BackendRecord, backendRecordSchema } from "../registry/backend-record.js";
+import type { BackendServers } from "./backend-servers.js";
+import type { CatalogView } from "./catalog-view.js";
+
+export type EntryView = {
+    /** Takes in what a control instance has told. */
+    take(batch: FeedBatch, control: string): void;
+    /** True once some control instance has told all that was acknowledged before. */
+    readonly isComplete: boolean;
+    /** Entries that share the backend servers, this one included; the most that a control instance sees. */
+    entryCount(): number;
+    /** Control instances that others have named. */
+    controlNames(): readonly string[];
+};
+
+export function createEntryView(options: {
+    readonly log: EventLog;
+    readonly catalog: CatalogView;
+    readonly servers: BackendServers;
+}): EntryView {
+    const { log, catalog, servers } = options;
+    const entryCounts = new Map<string, number>();
+    const members = new Map<string, readonly string[]>();
+    let isComplete = false;
+
+    const mergeItem = (item: Item) => {
+        if (catalog.merge(item)) {
+            const { kind, name, version } = item;
+            log(EventLevel.Info, "item in force", { kind, name, version, isDropped: item.value === undefined });
+        }
+    };
+    const mergeRecord = (record: BackendRecord) => {
+        if (servers.merge(record)) {
+            const { id, service, state, sequence, startedAt, coldMilliseconds } = record;
+            const fields = { server: id, service, state, sequence, startedAt, coldMilliseconds };
+            log(EventLevel.Info, "backend server changed", fields);
+        }
+    };
+    const mergeValue = (key: string, value: unknown, control: string) => {
+        if (key.startsWith(FeedPrefix.Item)) {
+            mergeItem(value as Item);
+        }
+        else if (key.startsWith(FeedPrefix.BackendServer)) {
+            mergeRecord(backendRecordSchema.parse(value));
+        }
+        else if (key === FeedPrefix.EntryCount) {
+            entryCounts.set(control, Number(value));
+        }
+        else if (key === FeedPrefix.Members) {
+            members.set(control, value as readonly string[]);
+        }
+    };
+
+    return {
+        take: (batch, control) => {
+            batch.values.forEach(({ key, value }) => mergeValue(key, value, control));
+            if (batch.isComplete && !isComplete) {
+                isComplete = true;
+                log(EventLevel.Info, "catalog complete", { control, items: catalog.items().length });
+            }
+        },
+        get isComplete() {
+            return isComplete;
+        },
+        entryCount: () => Math.max(1, ...entryCounts.values()),
+        controlNames: () => [...new Set([...members.values()].flat())],
+    };
+}
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -4,28 +4,22 @@
 import type { Clock, PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Item } from "../catalog/items.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
-import type { FeedBatch } from "../feed/change-feed.js";
 import { followFeeds } from "../feed/follow-feeds.js";
 import { memberName } from "../formation/member-peers.js";
-import { FeedPrefix } from "../gateway-control/messages.js";
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/start-gateway-control.js";
 import type { TextMetrics } from "../metrics/text-metrics.js";
 import type { EntryReport } from "../placement/entry-list.js";
-import { type BackendRecord, backendRecordSchema } from "../registry/backend-record.js";
 import { createRatioBudget, type RatioBudget } from "../routing/ratio-budget.js";
-import { BodyTooLargeError } from "../routing/request-body.js";
 import { createTimers } from "../routing/timers.js";
 import { createBackendServers } from "./backend-servers.js";
-import { createCallerAnswer } from "./caller-answer.js";
 import { createCatalogView, type NamedRoute } from "./catalog-view.js";
 import { createServerChooser } from "./choice/choose.js";
 import { createServiceSplit } from "./choice/service-split.js";
-import { forward, type ForwardTools } from "./forward.js";
-import { type GatewayRequest, headerBytes, readGatewayRequest } from "./gateway-request.js";
+import { createEntryView } from "./entry-view.js";
 import { measureLoopLag } from "./loop-lag.js";
 import type { MessageHeaders } from "./message-headers.js";
+import { serveRequest, type ServeTools } from "./serve-request.js";
 
 /** Role that an entry tells its peers. */
 const ENTRY_ROLE = "gateway-entry";
@@ -39,18 +33,6 @@
 const STOP_POLL_MS = 50;
 /** Part of the allowed repeats that entries use; the rest covers differences between their windows. */
 const BUDGET_SHARE = 0.7;
-/** With this delay of the event loop, callers may have left before their requests are read, in milliseconds. */
-const NOTICEABLE_LAG_MS = 50;
-/** Delay of the event loop beyond which requests are refused, the least urgent first, in milliseconds. */
-const REFUSING_LAG_MS = 300;
-/** Further delay for each step of urgency, in milliseconds. */
-const REFUSING_LAG_STEP_MS = 150;
-/** Priorities are told apart up to this one; 0 is the most urgent. */
-const LEAST_URGENT_PRIORITY = 2;
-const OVERLOADED_RETRY_MS = 200;
-/** Callers that are refused before the catalog is known come back after this time, in milliseconds. */
-const NOT_READY_RETRY_MS = 300;
-
 export type GatewayOptions = {
     readonly clock: Clock;
     readonly metrics: TextMetrics;
@@ -97,9 +79,8 @@
         regionOf: options.regionOf,
         onConnect: () => metrics.increment("gateway.connections_opened"),
     });
-    const entryCounts = new Map<string, number>();
-    const entryCount = () => Math.max(1, ...entryCounts.values());
-    let isCatalogComplete = false;
+    const view = createEntryView({ log, catalog, servers });
+    const { entryCount } = view;
     let isStopping = false;
     let openRequests = 0;
 
@@ -110,44 +91,12 @@
         region,
         isReady: isReady(),
     });
-    const isReady = () => isCatalogComplete && !isStopping;
+    const isReady = () => view.isComplete && !isStopping;
 
-    const mergeValue = (key: string, value: unknown, control: string) => {
-        if (key.startsWith(FeedPrefix.Item)) {
-            const item = value as Item;
-            if (catalog.merge(item)) {
-                const { kind, name, version } = item;
-                log(EventLevel.Info, "item in force", { kind, name, version, isDropped: item.value === undefined });
-            }
-        }
-        else if (key.startsWith(FeedPrefix.BackendServer)) {
-            mergeRecord(backendRecordSchema.parse(value));
-        }
-        else if (key === FeedPrefix.EntryCount) {
-            entryCounts.set(control, Number(value));
-        }
-        else if (key === FeedPrefix.Members) {
-            members.set(control, value as readonly string[]);
-        }
-    };
-    const mergeRecord = (record: BackendRecord) => {
-        if (servers.merge(record)) {
-            const { id, service, state, sequence, startedAt, coldMilliseconds } = record;
-            log(EventLevel.Info, "backend server changed", {
-                server: id,
-                service,
-                state,
-                sequence,
-                startedAt,
-                coldMilliseconds,
-            });
-        }
-    };
-    const members = new Map<string, readonly string[]>();
     const controlNames = () => [
         ...new Set([
             ...options.seedAddresses().map(address => memberName(address, options.controlPeerPort)),
-            ...[...members.values()].flat(),
+            ...view.controlNames(),
         ]),
     ];
     const identity: PeerIdentity = {
@@ -163,12 +112,11 @@
         log,
         self: identity,
         entry,
-        onBatch: (batch: FeedBatch, control) => {
-            batch.values.forEach(({ key, value }) => mergeValue(key, value, control));
+        onBatch: (batch, control) => {
+            const wasComplete = view.isComplete;
+            view.take(batch, control);
             feeds.follow(controlNames());
-            if (batch.isComplete && !isCatalogComplete) {
-                isCatalogComplete = true;
-                log(EventLevel.Info, "catalog complete", { control, items: catalog.items().length });
+            if (view.isComplete && !wasComplete) {
                 void feeds.report();
             }
             applyLimits();
@@ -209,7 +157,7 @@
         evacuationGeneration: catalog.evacuationGeneration,
         entryCount,
     });
-    const tools: ForwardTools = {
+    const tools: ServeTools = {
         clock,
         counters: metrics,
         log,
@@ -219,81 +167,20 @@
         chooser,
         connectionLimit,
         retryBudget,
+        metrics,
+        lag,
+        catalog,
+        isCatalogComplete: () => view.isComplete,
+        isStopping: () => isStopping,
+        nextService,
     };
 
-    const serve = async (message: IncomingMessage, response: ServerResponse) => {
-        const delay = lag.milliseconds();
-        const isBehind = delay > NOTICEABLE_LAG_MS;
-        // A request that waited to be read has used up that much of its time.
-        const startedAt = clock.monotonicMilliseconds() - (isBehind ? delay : 0);
-        const id = String(message.headers[names.requestId] ?? "");
-        const caller = createCallerAnswer(response, message.method ?? "GET", id, names, () => isStopping);
-        const answer = (status: number, reason: string, retryAfterMilliseconds?: number) => {
-            log(EventLevel.Warning, "request answered", { request: id, status, reason, path: message.url });
-            caller.answer({ status, retryAfterMilliseconds });
-        };
-        if (!isCatalogComplete) {
-            answer(503, "the catalog is not known yet", NOT_READY_RETRY_MS);
-            return;
-        }
-        if (headerBytes(message) > catalog.limits().maximumHeaderBytes) {
-            answer(431, "the headers are too large");
-            return;
-        }
-        let request: GatewayRequest;
-        try {
-            request = await readGatewayRequest(message, names, catalog.limits());
-        }
-        catch (error) {
-            if (error instanceof BodyTooLargeError) {
-                answer(413, "the body is too large");
-            }
-            else {
-                log(EventLevel.Info, "request not read", { request: id, ...errorFields(error) });
-                caller.cut();
-            }
-            return;
-        }
-        const path = request.path.split("?", 1)[0] as string;
-        const named = catalog.findRoute(request.host, path);
-        if (named === undefined) {
-            answer(404, "no route");
-            return;
-        }
-        if (isBehind) {
-            const urgency = LEAST_URGENT_PRIORITY - Math.min(LEAST_URGENT_PRIORITY, named.route.priority);
-            if (delay > REFUSING_LAG_MS + urgency * REFUSING_LAG_STEP_MS) {
-                answer(503, "the entry is overloaded", OVERLOADED_RETRY_MS);
-                return;
-            }
-            await lag.readConnections();
-        }
-        const service = nextService(named);
-        const outcome = await forward(tools, request, named.route, service, startedAt, caller);
-        const took = clock.monotonicMilliseconds() - startedAt;
-        metrics.increment("gateway.requests", 1, { service, outcome });
-        metrics.observe("gateway.request", took, { service, outcome });
-        const hasFailed = response.statusCode >= 400 || !response.headersSent;
-        if (hasFailed || took > named.route.latencyObjectiveMilliseconds) {
-            log(hasFailed ? EventLevel.Warning : EventLevel.Info, "request ended", {
-                request: id,
-                route: named.name,
-                version: named.version,
-                service,
-                outcome,
-                status: response.headersSent ? response.statusCode : undefined,
-                milliseconds: Math.round(took),
-                objective: named.route.latencyObjectiveMilliseconds,
-                delay: Math.round(delay),
-            });
-        }
-    };
     const handle = (message: IncomingMessage, response: ServerResponse) => {
         openRequests += 1;
         response.once("close", () => {
             openRequests -= 1;
         });
-        serve(message, response).catch((error: unknown) => {
+        serveRequest(tools, message, response).catch((error: unknown) => {
             log(EventLevel.Error, "request failed in the entry", errorFields(error));
             response.destroy();
         });
--- a/packages/hyssopfront/src/placement/placement.feature
+++ b/packages/hyssopfront/src/placement/placement.feature
@@ -17,13 +17,3 @@
   Scenario: An entry whose connection is lost is not listed any more
     When the connection of entry c is lost and 1600 ms pass
     Then a caller in muntenia for an unbound host is told b
-
-  # Guards against backend servers that are given up for silent although the other side of a cut hears them.
-  Scenario: Silence says nothing while a control instance is out of reach
-    Given control instances one and two as the others
-    When both are connected for 6000 ms
-    Then contact is complete for 6000 ms
-    When two is out of reach for 8000 ms
-    Then contact is complete for 0 ms
-    When two stays out of reach for 40000 ms
-    Then contact is complete for more than 6000 ms
--- a/packages/hyssopfront/src/placement/placement.steps.ts
+++ b/packages/hyssopfront/src/placement/placement.steps.ts
@@ -2,15 +2,12 @@
 import { createManualClock, type ManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { type Item, ItemKind } from "../catalog/items.js";
-import { createMemberContact, type MemberContact } from "../gateway-control/member-contact.js";
 import { chooseEntries, createEntryList, type EntryList, type EntryReport } from "./entry-list.js";
 import { createHomeRegions } from "./home-regions.js";
 
-const LOOK_MS = 500;
 let clock: ManualClock;
 let entries: EntryList;
 let leave: Map<string, () => void>;
-let contact: MemberContact;
 
 const report = (name: string, region: string, isReady = true): EntryReport => ({
     name,
@@ -43,13 +40,6 @@
 };
 const told = (region: string, host: string) =>
     chooseEntries(entries.present(), region, createHomeRegions(() => [BOUND_ROUTE]).of(host)).map(({ name }) => name);
-const look = async (milliseconds: number, connected: readonly string[]) => {
-    for (let passed = 0; passed < milliseconds; passed += LOOK_MS) {
-        await clock.advance(LOOK_MS);
-        contact.update(["one", "two"], new Set(connected));
-    }
-};
-
 Given("entry a in region moldova, entry b in region muntenia and entry c in region muntenia", () => {
     clock = createManualClock();
     entries = createEntryList({ clock, onChange: () => undefined });
@@ -73,15 +63,3 @@
     "a caller in {word} for a host bound to muntenia is told {word} and {word}",
     (region: string, one: string, other: string) => assert.deepEqual(told(region, "bound.example"), [one, other]),
 );
-Given("control instances one and two as the others", () => {
-    contact = createMemberContact(clock);
-});
-When("both are connected for {int} ms", (milliseconds: number) => look(milliseconds, ["one", "two"]));
-When("two is out of reach for {int} ms", (milliseconds: number) => look(milliseconds, ["one"]));
-When("two stays out of reach for {int} ms", (milliseconds: number) => look(milliseconds, ["one"]));
-Then("contact is complete for {int} ms", (milliseconds: number) => {
-    assert.equal(contact.completeForMilliseconds(), milliseconds);
-});
-Then("contact is complete for more than {int} ms", (milliseconds: number) => {
-    assert.ok(contact.completeForMilliseconds() > milliseconds);
-});
