--- a/packages/hyssopfront/src/gateway-control/messages.ts
+++ b/packages/hyssopfront/src/gateway-control/messages.ts
@@ -6,6 +6,9 @@
 import { entryReportSchema } from "../placement/entry-list.js";
 import { backendRecordSchema } from "../registry/backend-record.js";
 
+/** All instances of one deployment; other systems on the same addresses are refused in the handshake. */
+export const GATEWAY_CLUSTER_ID = "hyssopfront-gateway";
+
 export enum ControlRequestKind {
     Consensus = "consensus",
     /** Passes a catalog command to the leader. */
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -21,11 +21,16 @@
 import { createRegistry } from "../registry/registry.js";
 import { createCatalogGroup } from "./catalog-group.js";
 import { createMemberContact } from "./member-contact.js";
-import { ControlRequestKind, FeedPrefix, proposeSchema, readFeedSchema, recordsSchema } from "./messages.js";
+import {
+    ControlRequestKind,
+    FeedPrefix,
+    GATEWAY_CLUSTER_ID,
+    proposeSchema,
+    readFeedSchema,
+    recordsSchema,
+} from "./messages.js";
 import { createRecordSharing } from "./record-sharing.js";
 
-/** All instances of one deployment; other systems on the same addresses are refused in the handshake. */
-export const GATEWAY_CLUSTER_ID = "hyssopfront-gateway";
 /** Role that a control instance tells its peers. */
 const CONTROL_ROLE = "gateway-control";
 /** Pause between two looks for lost backend servers, in milliseconds. */
--- a/packages/hyssopfront/src/gateway/choice/choose.steps.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.steps.ts
@@ -66,6 +66,7 @@
         regions: ["north", "south"],
         hash,
         policyOf: () => undefined,
+        connectionLimit: () => Infinity,
         isEvacuated: zone => evacuated.has(zone),
         evacuationGeneration: () => evacuated.size,
         entryCount: () => 1,
--- a/packages/hyssopfront/src/gateway/choice/choose.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.ts
@@ -7,8 +7,6 @@
 import { HealthState } from "./health.js";
 import { planRegionShares, rankByWeight } from "./placement-plan.js";
 
-/** Share of the connections that a backend server accepts which entries use together; the rest is for other callers. */
-const CONNECTION_SHARE = 0.8;
 /** Requests that may wait at a backend server, as a multiple of its slots, before the next one is tried. */
 const WAITING_SHARE = 2;
 /** Backend servers that share the objects of a busy one; with more, none would know an object well. */
@@ -50,6 +48,8 @@
     readonly isEvacuated: (availabilityZone: string) => boolean;
     /** Changes whenever the evacuations change. */
     readonly evacuationGeneration: () => number;
+    /** Connections that this entry may open to one backend server of a service. */
+    readonly connectionLimit: (service: string) => number;
     /** Entries that share the backend servers with this one, itself included. */
     readonly entryCount: () => number;
 };
@@ -113,7 +113,7 @@
         choose: request => {
             const { service, homeRegions, excluded } = request;
             const policy = options.policyOf(service);
-            const connectionLimit = (policy?.maximumConnections ?? Infinity) * CONNECTION_SHARE / options.entryCount();
+            const connectionLimit = options.connectionLimit(service);
             const allowed = rank(service, request.affinityKey).filter(server =>
                 !excluded.has(server.record.id)
                 && (homeRegions.length === 0 || homeRegions.includes(server.region))
--- a/packages/hyssopfront/src/gateway/choice/health.ts
+++ b/packages/hyssopfront/src/gateway/choice/health.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock } from "@hyssopfront/coordination";
 
-/** Share that one request has in the averages; the last ten or so decide. */
+/** Share that one request has in the failing share; the last ten or so decide. */
 const SMOOTHING = 0.15;
 /** Failing share of recent requests above which a backend server is left alone for a while. */
 const EJECTING_FAILURE_SHARE = 0.4;
@@ -12,23 +12,17 @@
 /** First time out of use after failures, in milliseconds; it doubles up to the longest. */
 const FIRST_EJECTION_MS = 500;
 const LONGEST_EJECTION_MS = 4_000;
-/** After a time out of use, one request at a time is let through until one succeeds. */
-
 export enum HealthState {
     Healthy = "healthy",
     /** Out of use for a while. */
     Ejected = "ejected",
-    /** May get one request, to see whether it works again. */
+    /** May get one request at a time until one succeeds. */
     Trial = "trial",
 }
 
 export type Health = {
     state(): HealthState;
-    /** Average time to an answer in milliseconds; undefined before the first one. */
-    readonly latency: number | undefined;
-    /** Failing share of recent requests. */
-    readonly failureShare: number;
-    recordSuccess(milliseconds: number): void;
+    recordSuccess(): void;
     /** A failure that its clients see: reset, bad answer, error status. @returns True when it ejects the server. */
     recordFailure(): boolean;
     /** It cannot be reached or does not answer at all. */
@@ -36,7 +30,6 @@
 };
 
 export function createHealth(clock: Clock, random: () => number): Health {
-    let latency: number | undefined;
     let failureShare = 0;
     let answers = 0;
     let ejectedUntil = 0;
@@ -61,14 +54,7 @@
             }
             return clock.monotonicMilliseconds() < ejectedUntil ? HealthState.Ejected : HealthState.Trial;
         },
-        get latency() {
-            return latency;
-        },
-        get failureShare() {
-            return failureShare;
-        },
-        recordSuccess: milliseconds => {
-            latency = latency === undefined ? milliseconds : latency + (milliseconds - latency) * SMOOTHING;
+        recordSuccess: () => {
             answers += 1;
             failureShare *= 1 - SMOOTHING;
             if (isOnTrial && clock.monotonicMilliseconds() >= ejectedUntil) {
--- a/packages/hyssopfront/src/gateway/dispatch.ts
+++ b/packages/hyssopfront/src/gateway/dispatch.ts
@@ -165,7 +165,7 @@
             return true;
         },
         onEnd: () => {
-            server.health.recordSuccess(clock.monotonicMilliseconds() - startedAt);
+            server.health.recordSuccess();
             if (isStreaming) {
                 sink.end();
                 finish(DispatchEnd.Streamed);
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -7,7 +7,7 @@
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { followFeeds } from "../feed/follow-feeds.js";
 import { memberName } from "../formation/member-peers.js";
-import { GATEWAY_CLUSTER_ID } from "../gateway-control/start-gateway-control.js";
+import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import type { TextMetrics } from "../metrics/text-metrics.js";
 import type { EntryReport } from "../placement/entry-list.js";
 import { createRatioBudget, type RatioBudget } from "../routing/ratio-budget.js";
@@ -31,6 +31,8 @@
 const STOP_MARGIN_MS = 400;
 /** Pause between two looks whether the requests of a stopping entry have ended, in milliseconds. */
 const STOP_POLL_MS = 50;
+/** Share of the connections that a backend server accepts which entries use together; the rest is for other callers. */
+const CONNECTION_SHARE = 0.8;
 /** Part of the allowed repeats that entries use; the rest covers differences between their windows. */
 const BUDGET_SHARE = 0.7;
 export type GatewayOptions = {
@@ -144,8 +146,10 @@
         budgets.set(service, budget);
         return budget;
     };
-    const connectionLimit = (service: string) =>
-        Math.max(1, Math.floor((catalog.policyOf(service)?.maximumConnections ?? Infinity) / entryCount()));
+    const connectionLimit = (service: string) => {
+        const maximum = catalog.policyOf(service)?.maximumConnections ?? Infinity;
+        return Math.max(1, Math.floor(maximum * CONNECTION_SHARE / entryCount()));
+    };
     const chooser = createServerChooser({
         clock,
         servers,
@@ -153,6 +157,7 @@
         regions: options.regions,
         hash: options.hash,
         policyOf: catalog.policyOf,
+        connectionLimit,
         isEvacuated: catalog.isEvacuated,
         evacuationGeneration: catalog.evacuationGeneration,
         entryCount,
