--- a/packages/bench/src/backend-server/backend-server.feature
+++ b/packages/bench/src/backend-server/backend-server.feature
@@ -2,7 +2,7 @@
 
   # Guards against a stand-in that hides faults of the system: its records and refusals have to be exact.
   Scenario: It refuses requests over its slots before they run
-    Given a stand-in with 2 slots that takes 50 ms
+    Given a stand-in with 2 slots that takes 1000 ms
     When 5 requests are sent at the same time
     Then 2 were answered and 3 were refused
     And the records name the 2 that ran
