Bound the kept orders of backend servers, and drop the unused state of followed feeds

Requests without an object use their id as key, so the orders grew with every such request until a backend server changed. Nothing asked which feeds are connected.

--- a/packages/hyssopfront/src/feed/follow-feeds.ts
+++ b/packages/hyssopfront/src/feed/follow-feeds.ts
@@ -23,12 +23,10 @@
     follow(names: readonly string[]): void;
     /** Tells all control instances the state of this entry now. */
     report(): Promise<void>;
-    /** Control instances whose feed was read and that are connected now. */
-    connected(): readonly string[];
     close(): Promise<void>;
 };
 
-type Followed = { readonly client: PeerClient; readonly stopping: AbortController; isReading: boolean };
+type Followed = { readonly client: PeerClient; readonly stopping: AbortController };
 
 export function followFeeds(options: {
     readonly clock: Clock;
@@ -41,7 +39,7 @@
     const { clock, counters, log } = options;
     const followed = new Map<string, Followed>();
 
-    const run = async (name: string, { client, stopping }: Followed, setReading: (isReading: boolean) => void) => {
+    const run = async (name: string, { client, stopping }: Followed) => {
         let position = { feedId: "", afterPosition: 0 };
         while (!stopping.signal.aborted) {
             try {
@@ -50,12 +48,10 @@
                 const reply = await client.call(ControlRequestKind.ReadFeed, payload, READ_WAIT_MS + READ_MARGIN_MS);
                 const batch = feedBatchSchema.parse(reply);
                 position = { feedId: batch.feedId, afterPosition: batch.position };
-                setReading(true);
                 options.onBatch(batch, name);
             }
             catch (error) {
                 counters.increment("feeds.failed_reads", 1, { peer: name });
-                setReading(false);
                 if (client.isConnected) {
                     log(EventLevel.Warning, "feed not read", { peer: name, ...errorFields(error) });
                 }
@@ -76,11 +72,9 @@
                     ? log(EventLevel.Warning, "control instance lost", { peer: name, ...errorFields(reason) })
                     : log(EventLevel.Info, "control instance reached", { peer: name }),
         });
-        const one: Followed = { client, stopping: new AbortController(), isReading: false };
+        const one: Followed = { client, stopping: new AbortController() };
         followed.set(name, one);
-        void run(name, one, isReading => {
-            one.isReading = isReading;
-        });
+        void run(name, one);
     };
 
     const stop = async (name: string) => {
@@ -104,9 +98,6 @@
                 ),
             );
         },
-        connected: () =>
-            [...followed].filter(([, { client, isReading }]) => client.isConnected && isReading)
-                .map(([name]) => name),
         close: async () => {
             await Promise.all([...followed.keys()].map(stop));
         },
--- a/packages/hyssopfront/src/gateway/choice/choose.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.ts
@@ -11,6 +11,8 @@
 const WAITING_SHARE = 2;
 /** Backend servers that share the objects of a busy one; with more, none would know an object well. */
 const CANDIDATES = 2;
+/** Orders that are kept; requests without an object have keys of their own, which are never asked for again. */
+const MAXIMUM_RANKINGS = 10_000;
 /** Window in which requests to a cold backend server are counted, in milliseconds. */
 const COLD_WINDOW_MS = 1_000;
 
@@ -79,7 +81,7 @@
 
     const rank = (service: string, key: string) => {
         const generation = `${servers.generation}/${options.evacuationGeneration()}`;
-        if (rankedGeneration !== generation) {
+        if (rankedGeneration !== generation || rankings.size >= MAXIMUM_RANKINGS) {
             rankings = new Map();
             rankedGeneration = generation;
         }
