Send nothing on for callers that left while their connections waited to be accepted

When the other entry of a region stops, front-lansi-pori-1 (0.54 of a core) gets all of the region's connections; they wait for a second and more in the accept queue while no turn is later than 70 ms, so the delay of the loop does not show it. Ruled out: a forgotten delay of the loop (the median was 1 ms, 68 ms at most). Change: the entry notes since when each turn has accepted a connection; the first request on a connection that may have waited for over 50 ms is sent on only after the connections were read once more. The overload itself stays: all that pori serves for 7 s is of callers that left.

--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -154,3 +154,11 @@
   Scenario: A request without any backend server leaves a line with its id
     When a caller asks orders
     Then the log tells that the request ended as no-server
+
+  # Guards against requests that are sent on although their callers left while their connections waited to be accepted:
+  # each turn of the event loop accepts one, so they wait without any delay of the loop.
+  Scenario: Callers that leave before their connections are accepted have nothing sent on
+    Given stoc-1 of stoc answers after 400 ms
+    And each turn of the event loop takes 5 ms
+    When 80 callers of another process ask stoc at once and leave after 150 ms
+    Then no request reaches a backend server later than 100 ms after they left
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -1,6 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createSystemClock, listenForPeers, type PeerListener, routePeerRequests } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
 import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
@@ -29,7 +30,13 @@
 const TIMEOUT_MS = 1_000;
 
 type Answer = { readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: string };
-type StandIn = { readonly server: Server; requests: string[]; readonly sockets: Set<Socket>; record: BackendRecord };
+type StandIn = {
+    readonly server: Server;
+    requests: string[];
+    readonly requestedAt: number[];
+    readonly sockets: Set<Socket>;
+    record: BackendRecord;
+};
 type Behaviour = (socket: Socket, id: string) => void;
 
 const clock = createSystemClock();
@@ -43,6 +50,8 @@
 let stopped: Promise<void> | undefined;
 let lastRequest = 0;
 let lag: LoopLag;
+let isLoopSlow = false;
+let leftAt: number;
 let events: { readonly event: string; readonly [field: string]: unknown }[];
 
 const head = (status: string, id: string, more: readonly string[] = []) =>
@@ -176,6 +185,7 @@
         socket.on("data", data => {
             const text = data.toString();
             standIn.requests.push(text);
+            standIn.requestedAt.push(Date.now());
             behaviour(socket, new RegExp(`${NAMES.requestId}: (\\S+)`, "i").exec(text)?.[1] ?? "");
         });
     });
@@ -193,7 +203,7 @@
         startedAt: 1,
         sequence: 1,
     };
-    const standIn: StandIn = { server, requests: [], sockets, record };
+    const standIn: StandIn = { server, requests: [], requestedAt: [], sockets, record };
     standIns.set(id, standIn);
     tellRecord(record);
     await settle();
@@ -252,7 +262,10 @@
     stopped = undefined;
 }
 
-After(closeAll);
+After(async () => {
+    isLoopSlow = false;
+    await closeAll();
+});
 
 Given("an entry with a route to stoc for repeatable requests and one to orders for others", async () => {
     standIns = new Map();
@@ -351,12 +364,15 @@
     assert.ok(Date.now() - askedAt <= milliseconds);
 });
 
-When("the event loop is busy for {int} ms", async (milliseconds: number) => {
-    lag = measureLoopLag(clock);
+const spin = (milliseconds: number) => {
     const endsAt = clock.monotonicMilliseconds() + milliseconds;
     while (clock.monotonicMilliseconds() < endsAt) {
         // Nothing else runs meanwhile.
     }
+};
+When("the event loop is busy for {int} ms", async (milliseconds: number) => {
+    lag = measureLoopLag(clock);
+    spin(milliseconds);
     await new Promise(resolve => setTimeout(resolve, 0));
 });
 Then("requests read after it count as having waited for at least {int} ms", (milliseconds: number) => {
@@ -377,3 +393,50 @@
     const attempt = events.find(({ event }) => event === "attempt ended");
     assert.deepEqual([attempt?.request, attempt?.server], [`q${lastRequest}`, server]);
 });
+
+Given("each turn of the event loop takes {int} ms", (milliseconds: number) => {
+    isLoopSlow = true;
+    const turn = () => {
+        spin(milliseconds);
+        if (isLoopSlow) {
+            setImmediate(turn);
+        }
+    };
+    turn();
+});
+/** Callers that connect, ask and leave together; prints the Unix milliseconds at which they left. */
+const LEAVING_CALLERS = `
+    const [port, count, milliseconds, path, names] = JSON.parse(process.argv[1]);
+    const head = id => ["GET " + path + " HTTP/1.1", "host: gateway.example", names.requestId + ": left" + id,
+        names.deadline + ": 1500", "", ""].join("\\r\\n");
+    const sockets = Array.from({ length: count }, (_, id) => {
+        const socket = require("node:net").connect(port, "${HOST}", () => socket.write(head(id)));
+        return socket.on("error", () => undefined);
+    });
+    setTimeout(() => {
+        sockets.forEach(socket => socket.destroy());
+        process.stdout.write(String(Date.now()));
+    }, milliseconds);
+`;
+When(
+    "{int} callers of another process ask {word} at once and leave after {int} ms",
+    async (count: number, service: string, milliseconds: number) => {
+        const argument = JSON.stringify([callerPort, count, milliseconds, `/${service}/1`, NAMES]);
+        const callers = spawn(process.execPath, ["-e", LEAVING_CALLERS, argument], {
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        let output = "";
+        callers.stdout.on("data", (chunk: Buffer) => {
+            output += chunk.toString();
+        });
+        await new Promise(resolve => callers.once("close", resolve));
+        leftAt = Number(output);
+        assert.ok(leftAt > 0);
+    },
+);
+Then("no request reaches a backend server later than {int} ms after they left", async (milliseconds: number) => {
+    await clock.sleep(1_000);
+    const late = [...standIns.values()].flatMap(({ requestedAt }) => requestedAt)
+        .filter(time => time > leftAt + milliseconds);
+    assert.equal(late.length, 0, `${late.length} requests were sent on late.`);
+});
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -5,13 +5,14 @@
 import { errorFields, EventLevel } from "../event-log/event-log.js";
 import type { TextMetrics } from "../metrics/text-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
+import type { AcceptQueue } from "./accept-queue.js";
 import { createCallerAnswer } from "./caller-answer.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import { forward, type ForwardTools } from "./forward.js";
 import { type GatewayRequest, headerBytes, readGatewayRequest } from "./gateway-request.js";
 import type { LoopLag } from "./loop-lag.js";
 
-/** With this delay of the event loop, callers may have left before their requests are read, in milliseconds. */
+/** With this delay before a request is read, its caller may have left, in milliseconds. */
 const NOTICEABLE_LAG_MS = 50;
 /** Delay of the event loop beyond which requests are refused, the least urgent first, in milliseconds. */
 const REFUSING_LAG_MS = 300;
@@ -27,6 +28,7 @@
 export type ServeTools = ForwardTools & {
     readonly metrics: TextMetrics;
     readonly lag: LoopLag;
+    readonly acceptQueue: AcceptQueue;
     readonly catalog: CatalogView;
     readonly isCatalogComplete: () => boolean;
     /** True while callers should connect elsewhere. */
@@ -47,7 +49,9 @@
 ): Promise<void> {
     const { catalog, clock, lag, log, metrics, names } = tools;
     const delay = lag.milliseconds();
+    const acceptWait = tools.acceptQueue.takeWait(message.socket);
     const isBehind = delay > NOTICEABLE_LAG_MS;
+    const mayHaveLeft = isBehind || acceptWait > NOTICEABLE_LAG_MS;
     // A request that waited to be read has used up that much of its time.
     const startedAt = clock.monotonicMilliseconds() - (isBehind ? delay : 0);
     const id = String(message.headers[names.requestId] ?? "");
@@ -84,11 +88,11 @@
         answer(404, "no route");
         return;
     }
-    if (isBehind) {
-        if (delay > refusingLag(named.route.priority)) {
-            answer(503, "the entry is overloaded", OVERLOADED_RETRY_MS);
-            return;
-        }
+    if (isBehind && delay > refusingLag(named.route.priority)) {
+        answer(503, "the entry is overloaded", OVERLOADED_RETRY_MS);
+        return;
+    }
+    if (mayHaveLeft) {
         await lag.readConnections();
     }
 
@@ -109,6 +113,7 @@
             milliseconds: Math.round(took),
             objective: named.route.latencyObjectiveMilliseconds,
             delay: Math.round(delay),
+            acceptWait: Math.round(acceptWait),
         });
     }
 }
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -12,6 +12,7 @@
 import type { EntryReport } from "../placement/entry-list.js";
 import { createRatioBudget, type RatioBudget } from "../routing/ratio-budget.js";
 import { createTimers } from "../routing/timers.js";
+import { watchAcceptQueue } from "./accept-queue.js";
 import { createBackendServers } from "./backend-servers.js";
 import { createCatalogView, type NamedRoute } from "./catalog-view.js";
 import { createServerChooser } from "./choice/choose.js";
@@ -162,6 +163,7 @@
         evacuationGeneration: catalog.evacuationGeneration,
         entryCount,
     });
+    const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
     const tools: ServeTools = {
         clock,
         counters: metrics,
@@ -174,6 +176,7 @@
         retryBudget,
         metrics,
         lag,
+        acceptQueue: watchAcceptQueue(server, clock),
         catalog,
         isCatalogComplete: () => view.isComplete,
         isStopping: () => isStopping,
@@ -190,7 +193,6 @@
             response.destroy();
         });
     };
-    const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
     server.on("request", handle);
     server.on("checkExpectation", handle);
     const applyLimits = () => {
