--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -162,3 +162,12 @@
     And each turn of the event loop takes 5 ms
     When 80 callers of another process ask stoc at once and leave after 150 ms
     Then no request reaches a backend server later than 100 ms after they left
+
+  # Guards against an overloaded entry that works only for callers that have nearly given up.
+  Scenario: Connections that waited too long are closed unread, and later callers are served
+    Given stoc-1 of stoc answers
+    And each turn of the event loop takes 5 ms
+    When 100 callers of another process ask unknown at once and leave after 1500 ms
+    Then at least 10 of them were closed unread, and all others were answered within 400 ms
+    When a caller asks stoc
+    Then the caller gets 200 with the backend server's own body and signature
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -37,6 +37,13 @@
     readonly sockets: Set<Socket>;
     record: BackendRecord;
 };
+type Leavers = {
+    readonly count: number;
+    readonly leftAt: number;
+    /** Milliseconds after which each answered one was answered. */
+    readonly answered: readonly number[];
+    readonly closedUnread: number;
+};
 type Behaviour = (socket: Socket, id: string) => void;
 
 const clock = createSystemClock();
@@ -51,7 +58,7 @@
 let lastRequest = 0;
 let lag: LoopLag;
 let isLoopSlow = false;
-let leftAt: number;
+let leavers: Leavers;
 let events: { readonly event: string; readonly [field: string]: unknown }[];
 
 const head = (status: string, id: string, more: readonly string[] = []) =>
@@ -404,18 +411,23 @@
     };
     turn();
 });
-/** Callers that connect, ask and leave together; prints the Unix milliseconds at which they left. */
+/** Callers that connect, ask and leave together; prints when they left, and after how long each was answered or closed. */
 const LEAVING_CALLERS = `
     const [port, count, milliseconds, path, names] = JSON.parse(process.argv[1]);
     const head = id => ["GET " + path + " HTTP/1.1", "host: gateway.example", names.requestId + ": left" + id,
         names.deadline + ": 1500", "", ""].join("\\r\\n");
+    const startedAt = Date.now();
+    const answered = [], closed = [];
     const sockets = Array.from({ length: count }, (_, id) => {
         const socket = require("node:net").connect(port, "${HOST}", () => socket.write(head(id)));
-        return socket.on("error", () => undefined);
+        socket.once("data", () => answered.push(Date.now() - startedAt) && socket.destroy());
+        return socket.on("error", () => undefined).on("close", () => closed.push(Date.now() - startedAt));
     });
     setTimeout(() => {
+        const leftAt = Date.now();
+        const closedUnread = closed.length - answered.length;
         sockets.forEach(socket => socket.destroy());
-        process.stdout.write(String(Date.now()));
+        process.stdout.write(JSON.stringify({ leftAt, answered, closedUnread }));
     }, milliseconds);
 `;
 When(
@@ -430,13 +442,21 @@
             output += chunk.toString();
         });
         await new Promise(resolve => callers.once("close", resolve));
-        leftAt = Number(output);
-        assert.ok(leftAt > 0);
+        leavers = { ...JSON.parse(output) as Omit<Leavers, "count">, count };
+    },
+);
+Then(
+    "at least {int} of them were closed unread, and all others were answered within {int} ms",
+    (fewest: number, milliseconds: number) => {
+        const { count, answered, closedUnread } = leavers;
+        assert.ok(closedUnread >= fewest, `${closedUnread} were closed unread.`);
+        assert.equal(answered.length + closedUnread, count);
+        assert.ok(Math.max(...answered) <= milliseconds, `One was answered after ${Math.max(...answered)} ms.`);
     },
 );
 Then("no request reaches a backend server later than {int} ms after they left", async (milliseconds: number) => {
     await clock.sleep(1_000);
     const late = [...standIns.values()].flatMap(({ requestedAt }) => requestedAt)
-        .filter(time => time > leftAt + milliseconds);
+        .filter(time => time > leavers.leftAt + milliseconds);
     assert.equal(late.length, 0, `${late.length} requests were sent on late.`);
 });
