Let each step of the control scenarios wait for its own bound

The stated target is 10 s, when callers come: waits end after 10 s now, and cucumber's limit is above them.

--- a/packages/hyssopfront/src/gateway-control/control.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/control.steps.ts
@@ -1,4 +1,4 @@
-import { After, Given, Then, When } from "@cucumber/cucumber";
+import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import { createManualClock, createSystemClock, type ManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
@@ -15,9 +15,13 @@
 /** Loopback addresses of this file's instances; ports are taken from the process id, as test processes run together. */
 const addressOf = (number: number) => `127.0.7.${number}`;
 const PEER_PORT = 20_000 + process.pid % 20_000;
-const SETTLE_MS = 15_000;
+/** Callers come 10 s after the instances start, so everything must be settled by then. */
+const SETTLE_MS = 10_000;
 const MAIN = join(import.meta.dirname, "control-process.ts");
 
+// Every wait has its own bound; cucumber's of 5 s would end a step before it.
+setDefaultTimeout(3 * SETTLE_MS);
+
 type Reply = { readonly id: number; readonly value?: unknown; readonly error?: string };
 type Instance = { readonly child: ChildProcess; readonly ask: (call: string, argument?: unknown) => Promise<unknown> };
 
