Test that entries without slots of nearby backend servers get some after a drain

The suspected cause was that an entry without slots of the nearest backend server sends to others with room and never asks.

--- a/packages/bench/src/portions/waiting-simulation.ts
+++ b/packages/bench/src/portions/waiting-simulation.ts
@@ -37,6 +37,8 @@
     readonly waits?: boolean;
     /** Moves all requests of the backend servers' region to further backend servers, up to the cap. */
     readonly shift?: { readonly requestsPerSecond: number; readonly backendServers: number };
+    /** Backend servers in another region than the others, which get requests without a shift. */
+    readonly farBackendServers?: number;
     /** False for room that appears without notice, as that of rates does. */
     readonly tellsRoom?: boolean;
 };
@@ -54,6 +56,8 @@
     readonly request: SimulatedRequest;
     readonly result: "served" | NoChoice | NoAdmission;
     readonly isMoved: boolean;
+    /** True when it ran on a backend server that is not far. */
+    readonly isNear: boolean;
     readonly sentAt: number;
     readonly admittedAt: number;
 };
@@ -75,6 +79,7 @@
     const backendServers = [
         ...serversIn(SAMPLE_BACKEND_SERVER.availabilityZone, "backend", options.backendServers),
         ...serversIn("itasuomi-1", "destination", shift?.backendServers ?? 0),
+        ...serversIn("itasuomi-1", "far", options.farBackendServers ?? 0),
     ];
     const sample = sampleView({
         revision: 1,
@@ -91,9 +96,11 @@
         longestRequestMilliseconds: 1_000,
         network: { delay: () => NETWORK_DELAY_MS, isLost: () => false, isDuplicated: () => false },
     });
+    const isFar = ({ name }: AnnouncedBackendServer) => name.startsWith("far");
     const running = new Map<string, number>();
     const ends: SimulatedEnd[] = [];
     let highestUse = 0;
+    let isDrained = false;
 
     const openRoom = (entry: SimulatedEntry) => {
         const { clock, admission } = entry;
@@ -109,7 +116,7 @@
             counters: NO_COUNTERS,
             states,
             policy: powerOfTwoChoices,
-            acceptsNewWork: () => true,
+            acceptsNewWork: server => !isDrained || isFar(server),
             probe: () => undefined,
         };
         const choose = createChooser(chooserOptions);
@@ -165,7 +172,8 @@
             });
         }
         const isMoved = typeof admitted !== "string" && admitted.shift !== undefined;
-        const end: SimulatedEnd = { request, result, isMoved, sentAt, admittedAt: simulation.now() };
+        const isNear = typeof admitted !== "string" && !isFar(admitted.backendServer);
+        const end: SimulatedEnd = { request, result, isMoved, isNear, sentAt, admittedAt: simulation.now() };
         ends.push(end);
         return end;
     };
@@ -195,6 +203,10 @@
         send,
         run,
         now: simulation.now,
+        /** Sets whether only far backend servers take new requests. */
+        drain: (drains: boolean) => {
+            isDrained = drains;
+        },
         running: () => [...running.values()].reduce((sum, used) => sum + used, 0),
         /** Largest number of requests that one backend server ran at the same time. */
         highestUse: () => highestUse,
--- a/packages/hyssopfront/src/routing/waiting/waiting.feature
+++ b/packages/hyssopfront/src/routing/waiting/waiting.feature
@@ -75,3 +75,12 @@
     Given a shift with a cap of 70 requests a second to 8 backend servers elsewhere
     When entry-1 and entry-2 get 140 requests a second for 3000 ms
     Then entry-1 wants no slots 2500 ms after the last request
+
+  # Guards against backend servers that stay out of use after a drain, as entries without slots of theirs send elsewhere.
+  Scenario: Entries without slots of nearby backend servers ask for them although others have room
+    Given 7 entries with a grantor and 2 backend servers of 3 slots that take 200 ms
+    And 4 more backend servers in another region
+    When each entry in the region gets 2 requests a second for 4000 ms, while the nearby backend servers are drained
+    And each gets 2 requests a second for 8000 ms after the drain
+    Then at least 0.8 of the requests in the last 4 seconds ran nearby
+    And no request was refused
--- a/packages/hyssopfront/src/routing/waiting/waiting.steps.ts
+++ b/packages/hyssopfront/src/routing/waiting/waiting.steps.ts
@@ -267,3 +267,36 @@
     assert.equal(unserved[0]?.result, result);
     assert.ok(Math.abs(waited(unserved[0]!) - milliseconds) <= 2 * STEP_MS, `It waited ${waited(unserved[0]!)} ms.`);
 });
+
+Given(
+    "{int} more backend servers in another region",
+    (farBackendServers: number) => open({ ...simulation.options, farBackendServers }),
+);
+
+const keepAsking = (rate: number, milliseconds: number) => {
+    const nearby = simulation.names.filter(simulation.isNearby);
+    assert.ok(nearby.some(name => simulation.homesOf(name) === 0));
+    let dueAt = simulation.now();
+    return simulation.run(milliseconds, () => {
+        for (; dueAt <= simulation.now(); dueAt += 1_000 / rate) {
+            nearby.forEach(entry => void simulation.send({ entry }));
+        }
+    });
+};
+
+When(
+    "each entry in the region gets {int} requests a second for {int} ms, while the nearby backend servers are drained",
+    async (rate: number, milliseconds: number) => {
+        simulation.drain(true);
+        await keepAsking(rate, milliseconds);
+        simulation.drain(false);
+    },
+);
+
+When("each gets {int} requests a second for {int} ms after the drain", keepAsking);
+
+Then("at least {float} of the requests in the last {int} seconds ran nearby", (share: number, seconds: number) => {
+    const last = simulation.ends.filter(({ sentAt }) => sentAt >= simulation.now() - seconds * 1_000);
+    const near = last.filter(({ isNear }) => isNear).length;
+    assert.ok(near >= share * last.length, `${near} of ${last.length} ran nearby.`);
+});
