Tell callers entries of other regions where their own has lost most of its entry capacity

Cause: the directory tells callers the ready entries of their region whatever these can serve. Ruled out: telling by load, which moves callers back and forth and changes the region in which requests run although nothing has failed. Change: entries report their processor capacity. When the ready ones of a region make less than half of the region's share of all capacity, the answer has entries of other regions too, drawn by capacity and as many as bring the region's own to their share; for hosts with bound routes, those of the home regions only. Test: a caller of a region with 0.3 of its 1.15 cores is told that entry alone without the change.

--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -49,6 +49,8 @@
     readonly address: string;
     readonly peerPort: number;
     readonly availabilityZone: string;
+    /** All regions with callers. */
+    readonly regions: readonly string[];
     readonly dataFolder: string;
     /** True when the whole system starts for the first time, on empty disks. */
     readonly isFirstStart: boolean;
@@ -269,7 +271,13 @@
             await catalog.catchUp(deadlineMilliseconds);
             return catalog.items().filter(item => item.value !== undefined && item.kind !== ItemKind.Evacuation);
         },
-        findEntries: (host, callerRegion) => chooseEntries(entries.present(), callerRegion, homeRegions.of(host)),
+        findEntries: (host, callerRegion) =>
+            chooseEntries(entries.present(), {
+                callerRegion,
+                homeRegions: homeRegions.of(host),
+                regions: options.regions.length,
+                random: options.random,
+            }),
         voters: () =>
             (catalog.replica()?.status().members ?? []).filter(({ isVoter }) => isVoter).map(({ name }) => name),
         stop: async () => {
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -156,6 +156,7 @@
         address: HOST,
         callerPort,
         availabilityZone: "z1",
+        cores: 1,
         regionOf: () => "r1",
         regions: ["r1"],
         controlPeerPort: port,
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -47,6 +47,8 @@
     readonly address: string;
     readonly callerPort: number;
     readonly availabilityZone: string;
+    /** Processor capacity of this instance, in cores. */
+    readonly cores: number;
     readonly regionOf: (availabilityZone: string) => string;
     /** All regions with callers. */
     readonly regions: readonly string[];
@@ -93,6 +95,7 @@
         availabilityZone: options.availabilityZone,
         region,
         isReady: isReady(),
+        cores: options.cores,
     });
     const isReady = () => view.isComplete && !isStopping;
 
--- a/packages/hyssopfront/src/placement/entry-list.ts
+++ b/packages/hyssopfront/src/placement/entry-list.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from "@hyssopfront/coordination";
 import { z } from "zod";
+import { rankByWeight } from "../gateway/choice/placement-plan.js";
 
 export const entryReportSchema = z.object({
     name: z.string(),
@@ -12,10 +13,17 @@
     region: z.string(),
     /** True when it takes new connections. */
     isReady: z.boolean(),
+    /** Processor capacity of its instance, in cores. */
+    cores: z.number().positive(),
 });
 
 export type EntryReport = z.infer<typeof entryReportSchema>;
 
+/**
+ * Part of its share of all capacity that a region needs to serve its callers alone; with less, its entries would be
+ * overloaded at loads that the others bear with ease.
+ */
+const FEWEST_OF_SHARE = 0.5;
 /** An entry that has no request open on its connection is listed for this long, in milliseconds. */
 const CONTACT_LIFETIME_MS = 1_500;
 
@@ -74,22 +82,42 @@
     };
 }
 
+const capacityOf = (entries: readonly EntryReport[]) => entries.reduce((sum, { cores }) => sum + cores, 0);
+
+/** Draws entries at random, larger ones more often. */
+function drawByCapacity(entries: readonly EntryReport[], count: number, random: () => number): readonly EntryReport[] {
+    const drawn = rankByWeight(entries, ({ cores }) => cores, () => random() * 2 ** 32);
+    return drawn.slice(0, count);
+}
+
 /**
- * Entries that a caller should use: those of its own region, else those of the regions that may serve its requests,
- * else any.
+ * Entries that a caller should use: those of its own region; where these have lost most of their capacity, some of the
+ * other regions too, so that the region's entries get about the part that they can serve; without any of its region,
+ * all that may serve its requests.
  *
- * @param homeRegions Regions that some route of the requested host is bound to; empty when none is.
+ * @param options.homeRegions Regions that some route of the requested host is bound to; empty when none is.
+ * @param options.regions Number of regions with callers; all are assumed to ask equally often.
  */
-export function chooseEntries(
-    entries: readonly EntryReport[],
-    callerRegion: string,
-    homeRegions: readonly string[],
-): readonly EntryReport[] {
+export function chooseEntries(entries: readonly EntryReport[], options: {
+    readonly callerRegion: string;
+    readonly homeRegions: readonly string[];
+    readonly regions: number;
+    readonly random: () => number;
+}): readonly EntryReport[] {
+    const { callerRegion, homeRegions, random } = options;
     const ready = entries.filter(entry => entry.isReady);
     const near = ready.filter(entry => entry.region === callerRegion);
-    if (near.length > 0) {
+    const elsewhere = ready.filter(entry => entry.region !== callerRegion);
+    const home = elsewhere.filter(entry => homeRegions.includes(entry.region));
+    if (near.length === 0) {
+        return home.length > 0 ? home : elsewhere;
+    }
+    const share = capacityOf(ready) / options.regions;
+    const capacity = capacityOf(near);
+    if (capacity >= share * FEWEST_OF_SHARE) {
         return near;
     }
-    const home = ready.filter(entry => homeRegions.includes(entry.region));
-    return home.length > 0 ? home : ready;
+    // Callers pick evenly among the entries that they are told.
+    const helpers = Math.round(near.length * (share - capacity) / capacity);
+    return [...near, ...drawByCapacity(homeRegions.length === 0 ? elsewhere : home, helpers, random)];
 }
--- a/packages/hyssopfront/src/placement/placement.steps.ts
+++ b/packages/hyssopfront/src/placement/placement.steps.ts
@@ -9,12 +9,13 @@
 let entries: EntryList;
 let leave: Map<string, () => void>;
 
-const report = (name: string, region: string, isReady = true): EntryReport => ({
+const report = (name: string, region: string, isReady = true, cores = 1): EntryReport => ({
     name,
     callerAddress: `${name}:80`,
     availabilityZone: `${region}-1`,
     region,
     isReady,
+    cores,
 });
 const regionOf = (name: string) => name === "a" ? "moldova" : "muntenia";
 const BOUND_ROUTE: Item = {
@@ -39,13 +40,22 @@
     source: undefined,
 };
 const told = (region: string, host: string) =>
-    chooseEntries(entries.present(), region, createHomeRegions(() => [BOUND_ROUTE]).of(host)).map(({ name }) => name);
+    chooseEntries(entries.present(), {
+        callerRegion: region,
+        homeRegions: createHomeRegions(() => [BOUND_ROUTE]).of(host),
+        regions: 2,
+        random: () => 0.5,
+    }).map(({ name }) => name);
 Given("entry a in region moldova, entry b in region muntenia and entry c in region muntenia", () => {
     clock = createManualClock();
     entries = createEntryList({ clock, onChange: () => undefined });
     leave = new Map(["a", "b", "c"].map(name => [name, entries.enter(report(name, regionOf(name)))]));
 });
 When("entry {word} is not ready", (name: string) => entries.update(report(name, regionOf(name), false)));
+When(
+    "entry {word} has {float} cores",
+    (name: string, cores: number) => entries.update(report(name, regionOf(name), true, cores)),
+);
 When("the connection of entry {word} is lost and {int} ms pass", async (name: string, milliseconds: number) => {
     leave.get(name)?.();
     await clock.advance(milliseconds);
@@ -59,6 +69,15 @@
         assert.deepEqual(told(region, "free.example"), [one, other]);
     },
 );
+Then(
+    "a caller in {word} for an unbound host is told {word}, {word} and {word}",
+    (region: string, one: string, two: string, three: string) => {
+        assert.deepEqual([...told(region, "free.example")].sort(), [one, two, three]);
+    },
+);
+Then("a caller in {word} for a host bound to muntenia is told {word}", (region: string, name: string) => {
+    assert.deepEqual(told(region, "bound.example"), [name]);
+});
 Then(
     "a caller in {word} for a host bound to muntenia is told {word} and {word}",
     (region: string, one: string, other: string) => assert.deepEqual(told(region, "bound.example"), [one, other]),
