Let a stopping entry wait for the requests of connections that it accepted last

Cause: a stop ended once no request was open. Ruled out: closing of connections with an open request, which Node skips while the response is not ended. Change: the stop also waits for connections without a request so far, and closes those without one for 200 ms.

--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -171,3 +171,11 @@
     Then at least 10 of them were closed unread, and all others were answered within 400 ms
     When a caller asks stoc
     Then the caller gets 200 with the backend server's own body and signature
+
+  # Guards against a process that ends while it reads the first request of a connection that it has accepted.
+  Scenario: A stop waits for the request of a connection that was accepted last
+    Given an entry that may take 2000 ms to stop
+    And stoc-1 of stoc answers after 100 ms
+    When a caller connects 1130 ms into the stop of the entry and asks stoc 120 ms later
+    Then the caller gets 200 with the backend server's own body and signature
+    And the entry stopped after the answer
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
-import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
 import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
 import { ControlRequestKind, FeedPrefix, GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
@@ -59,6 +59,8 @@
 let lag: LoopLag;
 let isLoopSlow = false;
 let leavers: Leavers;
+let stoppedAt: number;
+let answeredAt: number;
 let events: { readonly event: string; readonly [field: string]: unknown }[];
 
 const head = (status: string, id: string, more: readonly string[] = []) =>
@@ -118,7 +120,7 @@
     homeRegions: [],
 });
 
-async function startEntry(hasCatalog: boolean): Promise<void> {
+async function startEntry(hasCatalog: boolean, stopMilliseconds = STOP_MS): Promise<void> {
     feed = createChangeFeed({ clock, feedId: String(Math.random()) });
     // The listener tells its name in the handshake, so its port must be known before it listens.
     const probe = createServer().listen(0, HOST);
@@ -164,7 +166,7 @@
         names: NAMES,
         retryShare: 0.2,
         retrySlack: 50,
-        stopMilliseconds: STOP_MS,
+        stopMilliseconds,
     });
     if (!hasCatalog) {
         return;
@@ -217,7 +219,7 @@
     await settle();
 }
 
-function ask(service: string, object?: string, leavesAfter?: number): Promise<Answer> {
+function ask(service: string, object?: string, leavesAfter?: number, connection?: Socket): Promise<Answer> {
     lastRequest += 1;
     askedAt = Date.now();
     return new Promise((resolve, reject) => {
@@ -226,7 +228,7 @@
             port: callerPort,
             path: `/${service}/1`,
             method: service === "orders" ? "POST" : "GET",
-            agent: false,
+            ...connection === undefined ? { agent: false } : { createConnection: () => connection },
             headers: {
                 host: "gateway.example",
                 [NAMES.requestId]: `q${lastRequest}`,
@@ -285,6 +287,10 @@
     await closeAll();
     await startEntry(false);
 });
+Given("an entry that may take {int} ms to stop", async (milliseconds: number) => {
+    await closeAll();
+    await startEntry(true, milliseconds);
+});
 Given(/^(\w+-\d) of (\w+) (.+)$/, async (id: string, service: string, behaviour: string) => {
     const known = BEHAVIOURS[behaviour];
     assert.ok(known !== undefined, `There is no behaviour "${behaviour}".`);
@@ -317,6 +323,21 @@
     askedAt = Date.now();
     stopped = gateway.stop();
 });
+When(
+    "a caller connects {int} ms into the stop of the entry and asks {word} {int} ms later",
+    async (connectsAfter: number, service: string, asksAfter: number) => {
+        stopped = gateway.stop().then(() => {
+            stoppedAt = Date.now();
+        });
+        await clock.sleep(connectsAfter);
+        const socket = connect(callerPort, HOST);
+        await clock.sleep(asksAfter);
+        answers = [ask(service, undefined, undefined, socket)];
+        await Promise.all(answers);
+        answeredAt = Date.now();
+        await stopped;
+    },
+);
 When("{word} announces that it drains", async (id: string) => {
     const standIn = standIns.get(id) as StandIn;
     tellRecord({ ...standIn.record, state: BackendServerState.Draining, sequence: 2 });
@@ -367,6 +388,7 @@
     assert.equal(totalRequests(), count);
 });
 Then("the entry is not ready", () => assert.equal(gateway.isReady(), false));
+Then("the entry stopped after the answer", () => assert.ok(stoppedAt >= answeredAt, "It stopped before the answer."));
 Then("the entry has stopped within {int} ms", async (milliseconds: number) => {
     await stopped;
     assert.ok(Date.now() - askedAt <= milliseconds);
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -4,6 +4,7 @@
 import type { Clock, PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { followFeeds } from "../feed/follow-feeds.js";
 import { memberName } from "../formation/member-peers.js";
@@ -32,6 +33,8 @@
 const STOP_MARGIN_MS = 400;
 /** Pause between two looks whether the requests of a stopping entry have ended, in milliseconds. */
 const STOP_POLL_MS = 50;
+/** A caller sends its request right after it has connected; a connection without one for this long is unused, in milliseconds. */
+const UNUSED_CONNECTION_MS = 200;
 /** Share of the connections that a backend server accepts which entries use together; the rest is for other callers. */
 const CONNECTION_SHARE = 0.8;
 /** Part of the allowed repeats that entries use; the rest covers differences between their windows. */
@@ -194,6 +197,7 @@
 
     const handle = (message: IncomingMessage, response: ServerResponse) => {
         openRequests += 1;
+        newConnections.delete(message.socket);
         response.once("close", () => {
             openRequests -= 1;
         });
@@ -202,6 +206,17 @@
             response.destroy();
         });
     };
+    /** Connections without a request so far, with the monotonic milliseconds of their acceptance. */
+    const newConnections = new Map<Socket, number>();
+    server.on("connection", (connection: Socket) => {
+        newConnections.set(connection, clock.monotonicMilliseconds());
+        connection.once("close", () => newConnections.delete(connection));
+    });
+    const closeUnused = () => {
+        server.closeIdleConnections();
+        const oldest = clock.monotonicMilliseconds() - UNUSED_CONNECTION_MS;
+        [...newConnections].filter(([, acceptedAt]) => acceptedAt < oldest).forEach(([one]) => one.destroy());
+    };
     server.on("request", handle);
     server.on("checkExpectation", handle);
     const applyLimits = () => {
@@ -225,8 +240,9 @@
             const takesUntil = startedAt + options.stopMilliseconds * TAKING_SHARE;
             await clock.sleep(Math.max(0, takesUntil - clock.monotonicMilliseconds()));
             server.close();
-            while (openRequests > 0 && clock.monotonicMilliseconds() < endsAt) {
-                server.closeIdleConnections();
+            // Requests of connections that were accepted last are still to be read.
+            while (openRequests + newConnections.size > 0 && clock.monotonicMilliseconds() < endsAt) {
+                closeUnused();
                 await clock.sleep(STOP_POLL_MS);
             }
             log(EventLevel.Info, "entry stopped", { openRequests });
