Log each send to a cold backend server, and why no backend server has room

On-call engineers could not tell from the log whether a cold backend server is flooded by many entries, by one that believes it to be warm, or by shares that are too large: sends that were answered in time left no line. A request that found no room told nothing about the backend servers that it passed over.

Every send to a cold backend server now leaves a line and is counted; requests without room tell how many backend servers are ejected, cold, out of connections or full; attempts tell whether they are the first of their object. No decision changes.

--- /dev/null
+++ b/packages/hyssopfront/src/cold-ramp/cold-ramp.steps.ts
@@ -0,0 +1,199 @@
+import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import { createSystemClock, NO_COUNTERS } from "@hyssopfront/coordination";
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync } from "node:fs";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type Item, ItemKind, type ItemValue } from "../catalog/items.js";
+import { NO_EVENT_LOG } from "../event-log/event-log.js";
+import { type GatewayControl, startGatewayControl } from "../gateway-control/start-gateway-control.js";
+import type { MessageHeaders } from "../gateway/message-headers.js";
+import { type Gateway, startGateway } from "../gateway/start-gateway.js";
+import { createTextMetrics } from "../metrics/text-metrics.js";
+import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+
+const HOST = "127.0.11.1";
+const SERVICE = "orders";
+/** Long enough for a first election and for an item to reach every entry, in milliseconds. */
+const SETTLE_MS = 10_000;
+const CHANGE_DEADLINE_MS = 2_000;
+const STOP_MS = 500;
+const SECOND_MS = 1_000;
+const NAMES: MessageHeaders = {
+    requestId: "test-request-id",
+    deadline: "test-deadline",
+    affinityCookie: "test-object",
+    answerSignature: "test-signature",
+    expectedBackendServer: "test-expected",
+    notRun: "test-not-run",
+    load: "test-load",
+    retryAfter: "retry-after",
+};
+
+setDefaultTimeout(3 * SETTLE_MS);
+
+type Entry = { readonly gateway: Gateway; readonly callerPort: number };
+
+const clock = createSystemClock();
+let folder: string;
+let control: GatewayControl;
+let entries: readonly Entry[];
+let backendServer: Server | undefined;
+let record: BackendRecord;
+let arrivals: number[];
+let lastRequest = 0;
+
+async function freePorts(count: number): Promise<readonly number[]> {
+    const probes = Array.from({ length: count }, () => createServer().listen(0, HOST));
+    await Promise.all(probes.map(probe => new Promise(resolve => probe.once("listening", resolve))));
+    const ports = probes.map(probe => (probe.address() as AddressInfo).port);
+    await Promise.all(probes.map(probe => new Promise(resolve => probe.close(resolve))));
+    return ports;
+}
+
+async function eventually(check: () => boolean, message: string): Promise<void> {
+    const endsAt = clock.monotonicMilliseconds() + SETTLE_MS;
+    while (!check() && clock.monotonicMilliseconds() < endsAt) {
+        await clock.sleep(20);
+    }
+    assert.ok(check(), message);
+}
+
+const item = (value: ItemValue): Item => ({ kind: value.kind, name: SERVICE, version: 1, value, source: {} });
+
+async function declareService(coldRequestsPerSecond: number): Promise<void> {
+    const policy = {
+        healthPath: "/health",
+        maximumConnections: 400,
+        coldStartMilliseconds: 3_000,
+        coldRequestsPerSecond,
+    };
+    const route = {
+        host: HOST,
+        pathPrefix: "/",
+        isIdempotent: false,
+        timeoutMilliseconds: 500,
+        latencyObjectiveMilliseconds: 200,
+        priority: 0,
+        services: [{ service: SERVICE, weight: 1 }],
+        maximumAttempts: 1,
+        hasAffinity: true,
+        homeRegions: [],
+    };
+    const items = [item({ kind: ItemKind.Service, policy }), item({ kind: ItemKind.Route, route })];
+    assert.equal(await control.changeItems(items, CHANGE_DEADLINE_MS), undefined);
+}
+
+async function ask({ callerPort }: Entry): Promise<void> {
+    lastRequest += 1;
+    const response = await fetch(`http://${HOST}:${callerPort}/1`, {
+        method: "POST",
+        headers: {
+            [NAMES.requestId]: `q${lastRequest}`,
+            [NAMES.deadline]: "500",
+            cookie: `${NAMES.affinityCookie}=o${lastRequest}`,
+        },
+    });
+    await response.arrayBuffer();
+}
+const askAll = async (count: number) => {
+    await Promise.all(entries.flatMap(entry => Array.from({ length: count }, () => ask(entry))));
+};
+
+After(async () => {
+    await Promise.all(entries.map(({ gateway }) => gateway.stop()));
+    await control.stop();
+    backendServer?.close();
+    backendServer?.closeAllConnections();
+    backendServer = undefined;
+    rmSync(folder, { recursive: true, force: true });
+});
+
+Given("a control instance and {int} entries", async (count: number) => {
+    folder = mkdtempSync(join(tmpdir(), "cold-ramp-"));
+    arrivals = [];
+    const [peerPort, ...callerPorts] = await freePorts(count + 1);
+    assert.ok(peerPort !== undefined);
+    control = await startGatewayControl({
+        clock,
+        counters: NO_COUNTERS,
+        log: NO_EVENT_LOG,
+        random: Math.random,
+        address: HOST,
+        peerPort,
+        availabilityZone: "z1",
+        regions: ["r1"],
+        dataFolder: folder,
+        isFirstStart: true,
+        seedAddresses: () => [HOST],
+        voters: 1,
+        heartbeatMilliseconds: 1_500,
+    });
+    entries = await Promise.all(callerPorts.map(async (callerPort, index) => ({
+        callerPort,
+        gateway: await startGateway({
+            clock,
+            metrics: createTextMetrics(),
+            log: NO_EVENT_LOG,
+            random: () => 0.5,
+            hash: text =>
+                [...text].reduce((hash, letter) => Math.imul(hash ^ letter.charCodeAt(0), 16_777_619) >>> 0, 7),
+            name: `entry-${index + 1}`,
+            address: HOST,
+            callerPort,
+            availabilityZone: "z1",
+            cores: 1,
+            regionOf: () => "r1",
+            regions: ["r1"],
+            controlPeerPort: peerPort,
+            seedAddresses: () => [HOST],
+            names: NAMES,
+            retryShare: 0.2,
+            retrySlack: 50,
+            stopMilliseconds: STOP_MS,
+        }),
+    })));
+    await eventually(() => entries.every(({ gateway }) => gateway.isReady()), "Some entry is not ready.");
+});
+Given(
+    "a backend server that is cold for {int} ms and bears {int} requests a second",
+    async (coldMilliseconds: number, coldRequestsPerSecond: number) => {
+        await declareService(coldRequestsPerSecond);
+        backendServer = createServer((request, response) => {
+            arrivals.push(clock.monotonicMilliseconds());
+            const id = request.headers[NAMES.requestId] ?? "";
+            response.writeHead(200, { [NAMES.requestId]: id, [NAMES.answerSignature]: "s1" }).end("done");
+        });
+        backendServer.listen(0, HOST);
+        await new Promise(resolve => backendServer?.once("listening", resolve));
+        record = {
+            id: "orders-1",
+            service: SERVICE,
+            address: HOST,
+            port: (backendServer.address() as AddressInfo).port,
+            availabilityZone: "z1",
+            slots: 20,
+            state: BackendServerState.Ready,
+            coldMilliseconds,
+            startedAt: 1,
+            sequence: 1,
+        };
+        assert.ok(await control.announce(record));
+        await clock.sleep(100);
+    },
+);
+When("{int} callers ask each entry at once", askAll);
+When("{int} callers ask each entry at once after {int} ms", async (count: number, milliseconds: number) => {
+    await clock.sleep(milliseconds);
+    await askAll(count);
+});
+Then(
+    "the backend server got at least {int} and at most {int} requests in any second",
+    (fewest: number, most: number) => {
+        const counts = arrivals.map(start => arrivals.filter(at => at >= start && at < start + SECOND_MS).length);
+        assert.ok(Math.max(0, ...counts) <= most, `It got ${Math.max(...counts)} requests in a second.`);
+        assert.ok(arrivals.length >= fewest, `It got ${arrivals.length} requests.`);
+    },
+);
--- a/packages/hyssopfront/src/gateway/choice/choose.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.ts
@@ -33,8 +33,19 @@
     NoRoom = "no-room",
 }
 
+/** How many backend servers of a service may not get a request now, by the first reason that applies to each. */
+export type RoomSummary = {
+    readonly ejected: number;
+    readonly cold: number;
+    readonly outOfConnections: number;
+    readonly full: number;
+    readonly free: number;
+};
+
 export type ServerChooser = {
     choose(request: ChoiceRequest): BackendServer | NoServer;
+    /** Tells why `choose` finds no room, for the log. */
+    summarizeRoom(request: ChoiceRequest): RoomSummary;
 };
 
 export type ServerChooserOptions = {
@@ -111,24 +122,28 @@
         return coldRequests.length < Math.max(1, (policy?.coldRequestsPerSecond ?? 1) / options.entryCount());
     };
 
+    const findAllowed = ({ service, affinityKey, homeRegions, excluded }: ChoiceRequest) =>
+        rank(service, affinityKey).filter(server =>
+            !excluded.has(server.record.id)
+            && (homeRegions.length === 0 || homeRegions.includes(server.region))
+        );
+    const isHealthy = (server: BackendServer) => {
+        const health = server.health.state();
+        return health === HealthState.Healthy || (health === HealthState.Trial && server.inFlight === 0);
+    };
+
     return {
         choose: request => {
-            const { service, homeRegions, excluded } = request;
+            const { service } = request;
             const policy = options.policyOf(service);
             const connectionLimit = options.connectionLimit(service);
-            const allowed = rank(service, request.affinityKey).filter(server =>
-                !excluded.has(server.record.id)
-                && (homeRegions.length === 0 || homeRegions.includes(server.region))
-            );
+            const allowed = findAllowed(request);
             if (allowed.length === 0) {
                 return NoServer.None;
             }
-            const able = allowed.filter(server => {
-                const health = server.health.state();
-                return (health === HealthState.Healthy || (health === HealthState.Trial && server.inFlight === 0))
-                    && server.inFlight < connectionLimit
-                    && hasColdRoom(server, policy);
-            });
+            const able = allowed.filter(server =>
+                isHealthy(server) && server.inFlight < connectionLimit && hasColdRoom(server, policy)
+            );
             const chosen = able.slice(0, CANDIDATES)
                 .find(server => estimateLoad(server) < server.record.slots * (1 + WAITING_SHARE))
                 ?? able.find(server => estimateLoad(server) < server.record.slots);
@@ -140,5 +155,28 @@
             }
             return chosen;
         },
+        summarizeRoom: request => {
+            const policy = options.policyOf(request.service);
+            const connectionLimit = options.connectionLimit(request.service);
+            const summary = { ejected: 0, cold: 0, outOfConnections: 0, full: 0, free: 0 };
+            findAllowed(request).forEach(server => {
+                if (!isHealthy(server)) {
+                    summary.ejected += 1;
+                }
+                else if (server.inFlight >= connectionLimit) {
+                    summary.outOfConnections += 1;
+                }
+                else if (!hasColdRoom(server, policy)) {
+                    summary.cold += 1;
+                }
+                else if (estimateLoad(server) >= server.record.slots) {
+                    summary.full += 1;
+                }
+                else {
+                    summary.free += 1;
+                }
+            });
+            return summary;
+        },
     };
 }
--- a/packages/hyssopfront/src/gateway/choice/warm-up.ts
+++ b/packages/hyssopfront/src/gateway/choice/warm-up.ts
@@ -5,6 +5,8 @@
  * fill the slots with slow work.
  */
 export type WarmUp = {
+    /** True once a request of the object has succeeded here. */
+    isWarm(key: string): boolean;
     /**
      * Undefined when a request of the object may be sent now; else resolves when the first one of it has ended.
      */
@@ -20,6 +22,7 @@
     const warm = new Set<string>();
     const firsts = new Map<string, First>();
     return {
+        isWarm: key => warm.has(key),
         waitFor: key => warm.has(key) ? undefined : firsts.get(key)?.ended,
         begin: key => {
             if (warm.has(key) || firsts.has(key)) {
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -91,6 +91,25 @@
     }
 }
 
+/** Every request to a cold backend server leaves a line, since the bound on them is shared by all entries. */
+function logColdSend({ clock, counters, log }: ForwardTools, server: BackendServer, request: GatewayRequest): void {
+    const coldMilliseconds = server.coldUntil - clock.monotonicMilliseconds();
+    if (coldMilliseconds <= 0) {
+        return;
+    }
+    const { id, service, startedAt, sequence } = server.record;
+    counters.increment("gateway.cold_requests", 1, { service });
+    log(EventLevel.Info, "cold backend server used", {
+        request: request.id,
+        service,
+        server: id,
+        startedAt,
+        sequence,
+        coldMilliseconds: Math.round(coldMilliseconds),
+        sentInWindow: server.coldRequests.length,
+    });
+}
+
 /**
  * Forwards a request and answers its caller.
  *
@@ -179,14 +198,20 @@
             if (journey.stop !== undefined || remaining() <= 0) {
                 return endEarly();
             }
-            const server = tools.chooser.choose({
+            const choice = {
                 service,
                 affinityKey: request.affinityKey ?? request.id,
                 homeRegions: route.homeRegions,
                 excluded: journey.excluded,
-            });
+            };
+            const server = tools.chooser.choose(choice);
             if (server === NoServer.None || server === NoServer.NoRoom) {
-                log(EventLevel.Warning, "no backend server", { request: request.id, service, reason: server });
+                log(EventLevel.Warning, "no backend server", {
+                    request: request.id,
+                    service,
+                    reason: server,
+                    ...tools.chooser.summarizeRoom(choice),
+                });
                 if (journey.runs > 0) {
                     caller.answer({ status: 502 });
                     return ForwardOutcome.Failed;
@@ -199,6 +224,8 @@
                 await waitForFirst(first);
                 continue;
             }
+            logColdSend(tools, server, request);
+            const isFirst = affinityKey !== undefined && !server.warmUp.isWarm(affinityKey);
             const noteEnd = affinityKey === undefined ? undefined : server.warmUp.begin(affinityKey);
             const sentAt = clock.monotonicMilliseconds();
             const load = estimateLoad(server);
@@ -219,6 +246,7 @@
                     status: head?.status,
                     reason: result.message,
                     milliseconds: Math.round(took),
+                    isFirst,
                     load: Math.round(load),
                     slots: server.record.slots,
                     remaining: Math.round(remaining()),
