Divide what a cold backend server bears among entries that are named in its record

Cause: each entry allowed itself max(1, bound / entries) requests a second to a cold backend server. With 35 entries and a bound of 3.3 the parts sum to 35. The class of fault: a shared bound that each participant divides for itself, from its own count of the participants, with a minimum of one.

The new test sends 12 requests in a second from 12 entries where 3 are borne; it failed before. Ruled out: entries that learn late of a cold backend server (they knew within 0.1 s), and too small a count of entries (no entry sent two in a second).

The control instance that takes in an announcement now names the entries that may use the backend server while it is cold, with whole requests for each, and the division travels with the record. Others send nothing, so the sum holds for any number of entries, and for entries that start, end or are cut off. While a division changes hands, old and new portions may add up for a moment, to twice the bound at most. A division is kept while its entries are there.

Requests are now counted when they are sent; before, a request that waited for the first one of its object was counted twice.

--- a/packages/hyssopfront/src/cold-ramp/cold-ramp.steps.ts
+++ b/packages/hyssopfront/src/cold-ramp/cold-ramp.steps.ts
@@ -12,7 +12,8 @@
 import type { MessageHeaders } from "../gateway/message-headers.js";
 import { type Gateway, startGateway } from "../gateway/start-gateway.js";
 import { createTextMetrics } from "../metrics/text-metrics.js";
-import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+import { type BackendAnnouncement, BackendServerState } from "../registry/backend-record.js";
+import { type ColdPortions, divideColdRequests } from "./cold-portions.js";
 
 const HOST = "127.0.11.1";
 const SERVICE = "orders";
@@ -34,16 +35,24 @@
 
 setDefaultTimeout(3 * SETTLE_MS);
 
-type Entry = { readonly gateway: Gateway; readonly callerPort: number };
+type Entry = {
+    readonly gateway: Gateway;
+    readonly callerPort: number;
+    /** Requests that a backend server has answered. */
+    answered: number;
+};
 
 const clock = createSystemClock();
-let folder: string;
+let folder: string | undefined;
 let control: GatewayControl;
 let entries: readonly Entry[];
 let backendServer: Server | undefined;
-let record: BackendRecord;
+let announcement: BackendAnnouncement;
 let arrivals: number[];
 let lastRequest = 0;
+let names: readonly string[];
+let portions: ColdPortions;
+let portionsBefore: ColdPortions;
 
 async function freePorts(count: number): Promise<readonly number[]> {
     const probes = Array.from({ length: count }, () => createServer().listen(0, HOST));
@@ -86,9 +95,15 @@
     assert.equal(await control.changeItems(items, CHANGE_DEADLINE_MS), undefined);
 }
 
-async function ask({ callerPort }: Entry): Promise<void> {
+/** Announces the backend server, and lets the record reach every entry. */
+async function announce(): Promise<void> {
+    assert.ok(await control.announce(announcement));
+    await clock.sleep(100);
+}
+
+async function ask(entry: Entry): Promise<void> {
     lastRequest += 1;
-    const response = await fetch(`http://${HOST}:${callerPort}/1`, {
+    const response = await fetch(`http://${HOST}:${entry.callerPort}/1`, {
         method: "POST",
         headers: {
             [NAMES.requestId]: `q${lastRequest}`,
@@ -97,18 +112,23 @@
         },
     });
     await response.arrayBuffer();
+    entry.answered += response.ok ? 1 : 0;
 }
 const askAll = async (count: number) => {
     await Promise.all(entries.flatMap(entry => Array.from({ length: count }, () => ask(entry))));
 };
 
 After(async () => {
+    if (folder === undefined) {
+        return;
+    }
     await Promise.all(entries.map(({ gateway }) => gateway.stop()));
     await control.stop();
     backendServer?.close();
     backendServer?.closeAllConnections();
     backendServer = undefined;
     rmSync(folder, { recursive: true, force: true });
+    folder = undefined;
 });
 
 Given("a control instance and {int} entries", async (count: number) => {
@@ -124,6 +144,7 @@
         address: HOST,
         peerPort,
         availabilityZone: "z1",
+        regionOf: () => "r1",
         regions: ["r1"],
         dataFolder: folder,
         isFirstStart: true,
@@ -133,6 +154,7 @@
     });
     entries = await Promise.all(callerPorts.map(async (callerPort, index) => ({
         callerPort,
+        answered: 0,
         gateway: await startGateway({
             clock,
             metrics: createTextMetrics(),
@@ -168,7 +190,7 @@
         });
         backendServer.listen(0, HOST);
         await new Promise(resolve => backendServer?.once("listening", resolve));
-        record = {
+        announcement = {
             id: "orders-1",
             service: SERVICE,
             address: HOST,
@@ -180,10 +202,23 @@
             startedAt: 1,
             sequence: 1,
         };
-        assert.ok(await control.announce(record));
-        await clock.sleep(100);
+        await announce();
     },
 );
+When("{int} entries end, all that may use it among them", async (count: number) => {
+    // Those that may use it are the ones that have answered.
+    await askAll(1);
+    const users = entries.filter(({ answered }) => answered > 0);
+    const ending = [...users, ...entries.filter(({ answered }) => answered === 0)].slice(0, count);
+    assert.ok(users.length > 0 && users.length <= count);
+    await Promise.all(ending.map(({ gateway }) => gateway.stop()));
+    entries = entries.filter(entry => !ending.includes(entry));
+    arrivals = [];
+});
+When("it announces itself again, cold for {int} ms", async (coldMilliseconds: number) => {
+    announcement = { ...announcement, coldMilliseconds, sequence: announcement.sequence + 1 };
+    await announce();
+});
 When("{int} callers ask each entry at once", askAll);
 When("{int} callers ask each entry at once after {int} ms", async (count: number, milliseconds: number) => {
     await clock.sleep(milliseconds);
@@ -197,3 +232,27 @@
         assert.ok(arrivals.length >= fewest, `It got ${arrivals.length} requests.`);
     },
 );
+
+const divide = (requestsPerSecond: number) => {
+    portionsBefore = portions;
+    portions = divideColdRequests({ held: portions, requestsPerSecond, candidates: names });
+};
+const divideAmong = (requestsPerSecond: number, count: number) => {
+    names = Array.from({ length: count }, (_, index) => `entry-${index + 1}`);
+    portions = {};
+    divide(requestsPerSecond);
+};
+When("{float} requests a second are divided among {int} entries", divideAmong);
+When("they are divided again among the same entries in another order", () => {
+    names = names.toReversed();
+    divide(3);
+});
+When("they are divided again without the first of its entries", () => {
+    names = names.filter(name => name !== Object.keys(portions)[0]);
+    divide(3);
+});
+Then("the portions are {word}", (expected: string) => {
+    assert.equal(Object.values(portions).join() || "none", expected);
+});
+Then("the division is the same", () => assert.deepEqual(portions, portionsBefore));
+Then("the division is another", () => assert.notDeepEqual(portions, portionsBefore));
--- /dev/null
+++ b/packages/hyssopfront/src/cold-ramp/cold-window.ts
@@ -0,0 +1,30 @@
+/**
+ * Requests that this entry has sent to one cold backend server of late.
+ */
+import type { Clock } from "@hyssopfront/coordination";
+
+/** Window that the operators' bound on requests to a cold backend server refers to, in milliseconds. */
+const WINDOW_MS = 1_000;
+
+export type ColdWindow = {
+    /** Requests that were sent in the last second. */
+    count(): number;
+    /** Notes that a request is sent now. */
+    note(): void;
+};
+
+/** Creates an empty window. */
+export function createColdWindow(clock: Clock): ColdWindow {
+    let sentAt: readonly number[] = [];
+    const recent = () => {
+        const oldest = clock.monotonicMilliseconds() - WINDOW_MS;
+        sentAt = sentAt.filter(time => time > oldest);
+        return sentAt;
+    };
+    return {
+        count: () => recent().length,
+        note: () => {
+            sentAt = [...recent(), clock.monotonicMilliseconds()];
+        },
+    };
+}
--- a/packages/hyssopfront/src/gateway-control/control-process.ts
+++ b/packages/hyssopfront/src/gateway-control/control-process.ts
@@ -28,6 +28,7 @@
     log: NO_EVENT_LOG,
     random: Math.random,
     availabilityZone: "z1",
+    regionOf: () => "r1",
     regions: ["r1"],
     seedAddresses: () => seeds,
     voters: votersForLosses(2),
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -11,13 +11,20 @@
 import { randomUUID } from "node:crypto";
 import { CommandKind } from "../catalog/catalog-state.js";
 import { type Item, itemKey, ItemKind } from "../catalog/items.js";
+import { divideColdRequests } from "../cold-ramp/cold-portions.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { createChangeFeed } from "../feed/change-feed.js";
 import { createFormation, JOIN_REQUEST } from "../formation/formation.js";
 import { createMemberPeers, memberName } from "../formation/member-peers.js";
-import { chooseEntries, createEntryList, type EntryReport, entryReportSchema } from "../placement/entry-list.js";
+import {
+    chooseColdEntries,
+    chooseEntries,
+    createEntryList,
+    type EntryReport,
+    entryReportSchema,
+} from "../placement/entry-list.js";
 import { createHomeRegions } from "../placement/home-regions.js";
-import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+import { type BackendAnnouncement, type BackendRecord, BackendServerState } from "../registry/backend-record.js";
 import { createRegistry } from "../registry/registry.js";
 import { createCatalogGroup } from "./catalog-group.js";
 import { createMemberContact } from "./member-contact.js";
@@ -49,6 +56,7 @@
     readonly address: string;
     readonly peerPort: number;
     readonly availabilityZone: string;
+    readonly regionOf: (availabilityZone: string) => string;
     /** All regions with callers. */
     readonly regions: readonly string[];
     readonly dataFolder: string;
@@ -68,7 +76,7 @@
      *
      * @returns False when it cannot be acknowledged, because too few control instances know of it.
      */
-    announce(record: BackendRecord): Promise<boolean>;
+    announce(announcement: BackendAnnouncement): Promise<boolean>;
     /** Takes in a departure; as `announce`. `startedAt` is undefined when the backend server did not tell it. */
     depart(id: string, startedAt: number | undefined): Promise<boolean>;
     /**
@@ -185,6 +193,15 @@
             }),
     });
 
+    const divideCold = ({ id, service, availabilityZone }: BackendAnnouncement) => {
+        const value = catalog.items().find(({ kind, name }) => kind === ItemKind.Service && name === service)?.value;
+        return divideColdRequests({
+            held: registry.coldPortionsOf(id),
+            requestsPerSecond: value?.kind === ItemKind.Service ? value.policy.coldRequestsPerSecond : 0,
+            candidates: chooseColdEntries(entries.present(), options.regionOf(availabilityZone), options.random),
+        });
+    };
+
     const takeIn = async (record: BackendRecord, mustBind: boolean) => {
         const isChange = registry.merge(record);
         if (!isChange && !mustBind) {
@@ -257,7 +274,11 @@
     const tasks = [catalog.run(signal), formation.run(signal), sharing.run(signal), expireRecords(), learnPast()];
 
     return {
-        announce: record => takeIn(record, record.state === BackendServerState.Draining),
+        announce: announcement =>
+            takeIn(
+                { ...announcement, coldPortions: divideCold(announcement) },
+                announcement.state === BackendServerState.Draining,
+            ),
         depart: async (id, startedAt) => {
             const record = registry.departureOf(id, startedAt);
             return record === undefined || takeIn(record, true);
--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -2,6 +2,7 @@
  * Backend servers as an entry knows them: what they announced, what it has open to them, and how they have answered.
  */
 import type { Clock } from "@hyssopfront/coordination";
+import { type ColdWindow, createColdWindow } from "../cold-ramp/cold-window.js";
 import { type BackendRecord, BackendServerState, isNewerRecord } from "../registry/backend-record.js";
 import { type BackendConnections, createBackendConnections } from "../routing/backend-connections.js";
 import { createHealth, type Health } from "./choice/health.js";
@@ -20,8 +21,8 @@
     inFlight: number;
     /** Monotonic milliseconds until which it is cold. */
     coldUntil: number;
-    /** Times of requests sent while cold, newest last. */
-    readonly coldRequests: number[];
+    /** Requests that this entry has sent while it was cold. */
+    readonly coldWindow: ColdWindow;
     /** Load that it last told, requests of this entry included. */
     load: { readonly running: number; readonly waiting: number; readonly inFlightThen: number } | undefined;
 };
@@ -79,7 +80,7 @@
         warmUp: createWarmUp(),
         inFlight: 0,
         coldUntil: 0,
-        coldRequests: [],
+        coldWindow: createColdWindow(clock),
         load: undefined,
     });
 
--- a/packages/hyssopfront/src/gateway/choice/choose.steps.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.steps.ts
@@ -31,6 +31,7 @@
     coldMilliseconds: 0,
     startedAt: 1,
     sequence: 1,
+    coldPortions: {},
 });
 const choose = (affinityKey: string, homeRegions: readonly string[] = []) =>
     chooser.choose({ service: "stoc", affinityKey, homeRegions, excluded: new Set() });
@@ -65,11 +66,10 @@
         region: "north",
         regions: ["north", "south"],
         hash,
-        policyOf: () => undefined,
+        entryName: "entry-1",
         connectionLimit: () => Infinity,
         isEvacuated: zone => evacuated.has(zone),
         evacuationGeneration: () => evacuated.size,
-        entryCount: () => 1,
     });
 });
 When("zone {word} is evacuated", (zone: string) => void evacuated.add(zone));
--- a/packages/hyssopfront/src/gateway/choice/choose.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.ts
@@ -2,7 +2,6 @@
  * Chooses the backend server of a request: the one that has handled its object before, unless that one has no room.
  */
 import type { Clock } from "@hyssopfront/coordination";
-import type { ServicePolicy } from "../../catalog/items.js";
 import type { BackendServer, BackendServers } from "../backend-servers.js";
 import { HealthState } from "./health.js";
 import { planRegionShares, rankByWeight } from "./placement-plan.js";
@@ -13,8 +12,6 @@
 const CANDIDATES = 2;
 /** Orders that are kept; requests without an object have keys of their own, which are never asked for again. */
 const MAXIMUM_RANKINGS = 10_000;
-/** Window in which requests to a cold backend server are counted, in milliseconds. */
-const COLD_WINDOW_MS = 1_000;
 
 export type ChoiceRequest = {
     readonly service: string;
@@ -57,14 +54,13 @@
     readonly regions: readonly string[];
     /** Uniform hash of a text, 32 bits. */
     readonly hash: (text: string) => number;
-    readonly policyOf: (service: string) => ServicePolicy | undefined;
+    /** Name of this entry in the division of requests to cold backend servers. */
+    readonly entryName: string;
     readonly isEvacuated: (availabilityZone: string) => boolean;
     /** Changes whenever the evacuations change. */
     readonly evacuationGeneration: () => number;
     /** Connections that this entry may open to one backend server of a service. */
     readonly connectionLimit: (service: string) => number;
-    /** Entries that share the backend servers with this one, itself included. */
-    readonly entryCount: () => number;
 };
 
 const addressOf = ({ record }: BackendServer) => `${record.address}:${record.port}`;
@@ -109,18 +105,9 @@
         return ranking;
     };
 
-    /** Divides what a cold backend server bears evenly, since the entries do not coordinate for it. */
-    const hasColdRoom = (server: BackendServer, policy: ServicePolicy | undefined) => {
-        const now = clock.monotonicMilliseconds();
-        if (now >= server.coldUntil) {
-            return true;
-        }
-        const { coldRequests } = server;
-        while (coldRequests.length > 0 && (coldRequests[0] as number) <= now - COLD_WINDOW_MS) {
-            coldRequests.shift();
-        }
-        return coldRequests.length < Math.max(1, (policy?.coldRequestsPerSecond ?? 1) / options.entryCount());
-    };
+    const hasColdRoom = ({ coldUntil, coldWindow, record }: BackendServer) =>
+        clock.monotonicMilliseconds() >= coldUntil
+        || coldWindow.count() < (record.coldPortions[options.entryName] ?? 0);
 
     const findAllowed = ({ service, affinityKey, homeRegions, excluded }: ChoiceRequest) =>
         rank(service, affinityKey).filter(server =>
@@ -135,28 +122,20 @@
     return {
         choose: request => {
             const { service } = request;
-            const policy = options.policyOf(service);
             const connectionLimit = options.connectionLimit(service);
             const allowed = findAllowed(request);
             if (allowed.length === 0) {
                 return NoServer.None;
             }
             const able = allowed.filter(server =>
-                isHealthy(server) && server.inFlight < connectionLimit && hasColdRoom(server, policy)
+                isHealthy(server) && server.inFlight < connectionLimit && hasColdRoom(server)
             );
             const chosen = able.slice(0, CANDIDATES)
                 .find(server => estimateLoad(server) < server.record.slots * (1 + WAITING_SHARE))
                 ?? able.find(server => estimateLoad(server) < server.record.slots);
-            if (chosen === undefined) {
-                return NoServer.NoRoom;
-            }
-            if (clock.monotonicMilliseconds() < chosen.coldUntil) {
-                chosen.coldRequests.push(clock.monotonicMilliseconds());
-            }
-            return chosen;
+            return chosen ?? NoServer.NoRoom;
         },
         summarizeRoom: request => {
-            const policy = options.policyOf(request.service);
             const connectionLimit = options.connectionLimit(request.service);
             const summary = { ejected: 0, cold: 0, outOfConnections: 0, full: 0, free: 0 };
             findAllowed(request).forEach(server => {
@@ -166,7 +145,7 @@
                 else if (server.inFlight >= connectionLimit) {
                     summary.outOfConnections += 1;
                 }
-                else if (!hasColdRoom(server, policy)) {
+                else if (!hasColdRoom(server)) {
                     summary.cold += 1;
                 }
                 else if (estimateLoad(server) >= server.record.slots) {
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -91,13 +91,14 @@
     }
 }
 
-/** Every request to a cold backend server leaves a line, since the bound on them is shared by all entries. */
-function logColdSend({ clock, counters, log }: ForwardTools, server: BackendServer, request: GatewayRequest): void {
+/** Counts a request to a cold backend server; each leaves a line, since the bound on them is shared by all entries. */
+function noteColdSend({ clock, counters, log }: ForwardTools, server: BackendServer, request: GatewayRequest): void {
     const coldMilliseconds = server.coldUntil - clock.monotonicMilliseconds();
     if (coldMilliseconds <= 0) {
         return;
     }
     const { id, service, startedAt, sequence } = server.record;
+    server.coldWindow.note();
     counters.increment("gateway.cold_requests", 1, { service });
     log(EventLevel.Info, "cold backend server used", {
         request: request.id,
@@ -106,7 +107,7 @@
         startedAt,
         sequence,
         coldMilliseconds: Math.round(coldMilliseconds),
-        sentInWindow: server.coldRequests.length,
+        sentInWindow: server.coldWindow.count(),
     });
 }
 
@@ -224,7 +225,7 @@
                 await waitForFirst(first);
                 continue;
             }
-            logColdSend(tools, server, request);
+            noteColdSend(tools, server, request);
             const isFirst = affinityKey !== undefined && !server.warmUp.isWarm(affinityKey);
             const noteEnd = affinityKey === undefined ? undefined : server.warmUp.begin(affinityKey);
             const sentAt = clock.monotonicMilliseconds();
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -212,6 +212,7 @@
         coldMilliseconds,
         startedAt: 1,
         sequence: 1,
+        coldPortions: { "entry-1": 5 },
     };
     const standIn: StandIn = { server, requests: [], requestedAt: [], sockets, record };
     standIns.set(id, standIn);
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -163,11 +163,10 @@
         region,
         regions: options.regions,
         hash: options.hash,
-        policyOf: catalog.policyOf,
+        entryName: options.name,
         connectionLimit,
         isEvacuated: catalog.isEvacuated,
         evacuationGeneration: catalog.evacuationGeneration,
-        entryCount,
     });
     const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
     const tools: ServeTools = {
--- a/packages/hyssopfront/src/placement/entry-list.ts
+++ b/packages/hyssopfront/src/placement/entry-list.ts
@@ -121,3 +121,19 @@
     const helpers = Math.round(near.length * (share - capacity) / capacity);
     return [...near, ...drawByCapacity(homeRegions.length === 0 ? elsewhere : home, helpers, random)];
 }
+
+/**
+ * Entries that may use a cold backend server, in random order: those of its region, whose callers it serves first; without
+ * any there, all.
+ *
+ * @returns Names of entries.
+ */
+export function chooseColdEntries(
+    entries: readonly EntryReport[],
+    region: string,
+    random: () => number,
+): readonly string[] {
+    const ready = entries.filter(entry => entry.isReady);
+    const near = ready.filter(entry => entry.region === region);
+    return drawByCapacity(near.length > 0 ? near : ready, entries.length, random).map(({ name }) => name);
+}
--- a/packages/hyssopfront/src/registry/backend-record.ts
+++ b/packages/hyssopfront/src/registry/backend-record.ts
@@ -2,6 +2,7 @@
  * What a backend server last said of itself, and which of two statements is newer.
  */
 import { z } from "zod";
+import { coldPortionsSchema } from "../cold-ramp/cold-portions.js";
 
 export enum BackendServerState {
     Ready = "ready",
@@ -12,7 +13,8 @@
     Lost = "lost",
 }
 
-export const backendRecordSchema = z.object({
+/** What a backend server says of itself. */
+export const backendAnnouncementSchema = z.object({
     id: z.string(),
     service: z.string(),
     address: z.string(),
@@ -29,6 +31,13 @@
     sequence: z.number(),
 });
 
+export type BackendAnnouncement = z.infer<typeof backendAnnouncementSchema>;
+
+export const backendRecordSchema = backendAnnouncementSchema.extend({
+    /** Entries that may use it while it is cold, as the control instance that took the statement in has divided it. */
+    coldPortions: coldPortionsSchema,
+});
+
 export type BackendRecord = z.infer<typeof backendRecordSchema>;
 
 /** Follows every statement of a start, because none is made after leaving. */
--- a/packages/hyssopfront/src/registry/registry.steps.ts
+++ b/packages/hyssopfront/src/registry/registry.steps.ts
@@ -26,6 +26,7 @@
     coldMilliseconds,
     startedAt,
     sequence,
+    coldPortions: {},
 });
 const find = (id: string) => registry.records().find(one => one.id === id);
 
--- a/packages/hyssopfront/src/registry/registry.ts
+++ b/packages/hyssopfront/src/registry/registry.ts
@@ -2,6 +2,8 @@
  * Registry of backend servers on one control instance: what they announced here or on another control instance.
  */
 import type { Clock } from "@hyssopfront/coordination";
+import { isDeepStrictEqual } from "node:util";
+import type { ColdPortions } from "../cold-ramp/cold-portions.js";
 import { type BackendRecord, BackendServerState, FINAL_SEQUENCE, isNewerRecord } from "./backend-record.js";
 
 /** Heartbeats that may be missed in a row before a backend server counts as lost; they may arrive seconds late. */
@@ -22,6 +24,8 @@
      * @returns True when entries must learn of it: anything but a mere sign of life.
      */
     merge(record: BackendRecord): boolean;
+    /** Division of the requests to a backend server while it is cold; empty when it is not known. */
+    coldPortionsOf(id: string): ColdPortions;
     /**
      * Record of a departure: the final one of the start that it names, else of the start that is known, else of any
      * start up to now, since the backend server may be known elsewhere. Undefined for an earlier start than the known.
@@ -51,6 +55,7 @@
     coldMilliseconds: 0,
     startedAt,
     sequence: FINAL_SEQUENCE,
+    coldPortions: {},
 });
 
 /**
@@ -83,7 +88,7 @@
         }
         const old = before.record;
         const becameColder = coldUntil > now && coldUntil - Math.max(before.coldUntil, now) > COLD_CHANGE_MS;
-        return becameColder ||
+        return becameColder || !isDeepStrictEqual(old.coldPortions, record.coldPortions) ||
             (["startedAt", "state", "service", "address", "port", "availabilityZone", "slots"] as const)
                 .some(field => old[field] !== record[field]);
     };
@@ -105,6 +110,7 @@
 
     return {
         merge,
+        coldPortionsOf: id => held.get(id)?.record.coldPortions ?? {},
         departureOf: (id, startedAt) => {
             const known = held.get(id)?.record;
             if (known !== undefined && startedAt !== undefined && startedAt < known.startedAt) {
