Log where a changed route sends requests and how long they may take

The log of an entry told that a version of a route is in force and not what it changed, so a route that moves to a service without room could not be told from a service that has lost its room.

--- a/packages/hyssopfront/src/gateway/entry-view.ts
+++ b/packages/hyssopfront/src/gateway/entry-view.ts
@@ -1,7 +1,7 @@
 /**
  * What an entry has learned from the feeds of the control instances.
  */
-import type { Item } from "../catalog/items.js";
+import { type Item, ItemKind, type Route } from "../catalog/items.js";
 import { EventLevel, type EventLog } from "../event-log/event-log.js";
 import type { FeedBatch } from "../feed/change-feed.js";
 import { FeedPrefix } from "../gateway-control/messages.js";
@@ -20,6 +20,11 @@
     controlNames(): readonly string[];
 };
 
+/** What decides where requests of a route go and how long they may take, for the log. */
+const routingFields = (
+    { services, timeoutMilliseconds, latencyObjectiveMilliseconds, maximumAttempts, homeRegions }: Route,
+) => ({ services, timeoutMilliseconds, latencyObjectiveMilliseconds, maximumAttempts, homeRegions });
+
 export function createEntryView(options: {
     readonly log: EventLog;
     readonly catalog: CatalogView;
@@ -32,8 +37,15 @@
 
     const mergeItem = (item: Item) => {
         if (catalog.merge(item)) {
-            const { kind, name, version } = item;
-            log(EventLevel.Info, "item in force", { kind, name, version, isDropped: item.value === undefined });
+            const { kind, name, version, value } = item;
+            const routing = value?.kind === ItemKind.Route ? routingFields(value.route) : {};
+            log(EventLevel.Info, "item in force", {
+                kind,
+                name,
+                version,
+                isDropped: value === undefined,
+                ...routing,
+            });
         }
     };
     const mergeRecord = (record: BackendRecord) => {
