Fill the budgets of repeats by requests alone, and follow the number of entries

The new test shows 4,900 repeats by 35 entries where 214 are allowed, and 140 where 20 are allowed after entries have joined; both failed before. A budget now starts empty, is filled by a share of the requests, and saves up to a part of the slack by the entries that are there now.

Looked at and left: the limit of connections to a backend server is an even part too and follows the number of entries at each use; it is rounded up to one only with more entries than connections. A backend server that was out of use gets one trial request from each entry, which its queue bears; while it is cold, the division of cold requests goes before it.

--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -11,7 +11,6 @@
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import type { TextMetrics } from "../metrics/text-metrics.js";
 import type { EntryReport } from "../placement/entry-list.js";
-import { createRatioBudget, type RatioBudget } from "../routing/ratio-budget.js";
 import { createTimers } from "../routing/timers.js";
 import { watchAcceptQueue } from "./accept-queue.js";
 import { createBackendServers } from "./backend-servers.js";
@@ -21,6 +20,7 @@
 import { createEntryView } from "./entry-view.js";
 import { measureLoopLag } from "./loop-lag.js";
 import type { MessageHeaders } from "./message-headers.js";
+import { createRepeatBudgets } from "./repeats/repeat-budgets.js";
 import { serveRequest, type ServeTools } from "./serve-request.js";
 
 /** Role that an entry tells its peers. */
@@ -37,8 +37,6 @@
 const UNUSED_CONNECTION_MS = 200;
 /** Share of the connections that a backend server accepts which entries use together; the rest is for other callers. */
 const CONNECTION_SHARE = 0.8;
-/** Part of the allowed repeats that entries use; the rest covers differences between their windows. */
-const BUDGET_SHARE = 0.7;
 export type GatewayOptions = {
     readonly clock: Clock;
     readonly metrics: TextMetrics;
@@ -142,17 +140,7 @@
         splits.set(name, split);
         return split.next();
     };
-    const budgets = new Map<string, RatioBudget>();
-    const retryBudget = (service: string) => {
-        const known = budgets.get(service);
-        if (known !== undefined) {
-            return known;
-        }
-        const burst = Math.max(1, options.retrySlack * BUDGET_SHARE / entryCount());
-        const budget = createRatioBudget(options.retryShare * BUDGET_SHARE, burst);
-        budgets.set(service, budget);
-        return budget;
-    };
+    const retryBudget = createRepeatBudgets({ share: options.retryShare, slack: options.retrySlack, entryCount });
     const connectionLimit = (service: string) => {
         const maximum = catalog.policyOf(service)?.maximumConnections ?? Infinity;
         return Math.max(1, Math.floor(maximum * CONNECTION_SHARE / entryCount()));
--- a/packages/hyssopfront/src/routing/ratio-budget.ts
+++ b/packages/hyssopfront/src/routing/ratio-budget.ts
@@ -9,18 +9,20 @@
 };
 
 /**
- * Over any time, at most `share` of the earned requests plus `burst` attempts can be taken.
+ * Over any time, at most `share` of the earned requests plus the burst can be taken.
  *
  * @param share Extra attempts for each request, such as 0.1.
- * @param burst Attempts that may be saved up; also the number allowed from the start.
+ * @param burst Attempts that may be saved up now; what is saved beyond a burst that shrinks is lost.
+ * @param saved Attempts that are allowed from the start.
  */
-export function createRatioBudget(share: number, burst: number): RatioBudget {
-    let tokens = burst;
+export function createRatioBudget(share: number, burst: () => number, saved = burst()): RatioBudget {
+    let tokens = saved;
     return {
         earn: () => {
-            tokens = Math.min(burst, tokens + share);
+            tokens = Math.min(burst(), tokens + share);
         },
         tryTake: () => {
+            tokens = Math.min(burst(), tokens);
             if (tokens < 1) {
                 return false;
             }
--- a/packages/hyssopfront/src/routing/request-handler.ts
+++ b/packages/hyssopfront/src/routing/request-handler.ts
@@ -138,8 +138,8 @@
         states,
         choose,
         onRoom: waitingRoom.onRoom,
-        retryBudget: createRatioBudget(RETRY_SHARE, BUDGET_BURST),
-        hedgeBudget: createRatioBudget(HEDGE_SHARE, BUDGET_BURST),
+        retryBudget: createRatioBudget(RETRY_SHARE, () => BUDGET_BURST),
+        hedgeBudget: createRatioBudget(HEDGE_SHARE, () => BUDGET_BURST),
         nextRequestId: createRequestIds(),
     };
     const usualLatencies = new Map<string, UsualLatency>();
