Keep requests with the backend server of their object instead of spreading them under load

Cause: a request whose two backend servers were full went to any free slot, and each backend server accepted three times its slots first. A first run takes over three times as long as a later one and displaces an object that the backend server knew, so moved requests took the slots of others, which then moved as well. The overload fed on itself and outlived its cause: a metastable failure.

Requests of slow or ejected backend servers still find idle ones.

Two scenarios of choose.feature described the spreading that is removed. They are replaced by three that are as strict: a busy backend server keeps its objects, a full one gives them to the next idle one in their order and to no busy one.

--- a/packages/hyssopfront/src/gateway/choice/choose.feature
+++ b/packages/hyssopfront/src/gateway/choice/choose.feature
@@ -20,16 +20,21 @@
     Then objects of other backend servers stay there or leave north, at most 30 of them
 
   # Guards against backend servers that each see every object and know none.
-  Scenario: A busy backend server shares its objects with one other
-    When all backend servers have 17 requests of 6 slots, and north-a-1 has 18
-    Then each object of north-a-1 goes to the next backend server in its order
-    When all backend servers have 18 requests of 6 slots
-    Then there is no room
+  Scenario: A busy backend server keeps its objects while they are answered soon
+    When all backend servers are idle, and north-a-1 has 13 requests for 6 slots
+    Then each object stays with its backend server
 
-  # Guards against refusals while a backend server has slots free.
-  Scenario: When both backend servers of an object are full, one with free slots takes it
-    When all backend servers but south-b-2 have 18 requests of 6 slots
+  # Guards against refusals while a backend server is idle.
+  Scenario: Objects of a backend server that is full go to the next idle one in their order
+    When all backend servers have 2 requests for 6 slots, and north-a-1 has 14
+    Then each object of north-a-1 goes to the next backend server in its order
+    When all backend servers but south-b-2 have 18 requests for 6 slots
     Then each object goes to south-b-2
 
+  # Guards against an overload that lasts because moved requests are slow and displace objects that were known.
+  Scenario: Objects of a backend server that is full do not go to busy ones
+    When all backend servers have 3 requests for 6 slots, and north-a-1 has 14
+    Then there is no room for objects of north-a-1, and the others stay
+
   Scenario: A bound route is kept in its home regions
     Then each object from north that is bound to south is in south
--- a/packages/hyssopfront/src/gateway/choice/choose.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.ts
@@ -1,15 +1,21 @@
 /**
- * Chooses the backend server of a request: the one that has handled its object before, unless that one has no room.
+ * Chooses the backend server of a request: the one that has handled its object before, unless that one has no room and
+ * another one is mostly idle.
+ *
+ * A backend server takes several times as long for an object that it does not know, and forgets others for it. If
+ * requests went wherever a slot is free, each of them would take slots from requests of known objects, which then had to
+ * move as well, and the service would stay overloaded after the cause has ended. Requests beyond the room at home are
+ * therefore refused at once rather than spread.
  */
 import type { Clock } from "@hyssopfront/coordination";
 import type { BackendServer, BackendServers } from "../backend-servers.js";
 import { HealthState } from "./health.js";
 import { planRegionShares, rankByWeight } from "./placement-plan.js";
 
-/** Requests that may wait at a backend server, as a multiple of its slots, before the next one is tried. */
-const WAITING_SHARE = 2;
-/** Backend servers that share the objects of a busy one; with more, none would know an object well. */
-const CANDIDATES = 2;
+/** Requests that may wait at the backend server of their object, as a multiple of its slots; later ones would be late. */
+const WAITING_SHARE = 1.25;
+/** Share of its slots below which a backend server takes requests for objects of others. */
+const IDLE_SHARE = 0.5;
 /** Orders that are kept; requests without an object have keys of their own, which are never asked for again. */
 const MAXIMUM_RANKINGS = 10_000;
 
@@ -36,7 +42,7 @@
     readonly cold: number;
     readonly outOfConnections: number;
     readonly full: number;
-    readonly free: number;
+    readonly withFreeSlots: number;
 };
 
 export type ServerChooser = {
@@ -130,14 +136,15 @@
             const able = allowed.filter(server =>
                 isHealthy(server) && server.inFlight < connectionLimit && hasColdRoom(server)
             );
-            const chosen = able.slice(0, CANDIDATES)
-                .find(server => estimateLoad(server) < server.record.slots * (1 + WAITING_SHARE))
-                ?? able.find(server => estimateLoad(server) < server.record.slots);
-            return chosen ?? NoServer.NoRoom;
+            const [home, ...others] = able;
+            if (home !== undefined && estimateLoad(home) < home.record.slots * (1 + WAITING_SHARE)) {
+                return home;
+            }
+            return others.find(server => estimateLoad(server) < server.record.slots * IDLE_SHARE) ?? NoServer.NoRoom;
         },
         summarizeRoom: request => {
             const connectionLimit = options.connectionLimit(request.service);
-            const summary = { ejected: 0, cold: 0, outOfConnections: 0, full: 0, free: 0 };
+            const summary = { ejected: 0, cold: 0, outOfConnections: 0, full: 0, withFreeSlots: 0 };
             findAllowed(request).forEach(server => {
                 if (!isHealthy(server)) {
                     summary.ejected += 1;
@@ -152,7 +159,7 @@
                     summary.full += 1;
                 }
                 else {
-                    summary.free += 1;
+                    summary.withFreeSlots += 1;
                 }
             });
             return summary;
