--- a/packages/hyssopfront/src/gateway/repeats/repeat-budgets.feature
+++ b/packages/hyssopfront/src/gateway/repeats/repeat-budgets.feature
@@ -20,8 +20,9 @@
     And each of them repeats as often as it may
     Then at most 20 repeats were sent
 
-  Scenario: Repeats are allowed once requests have come
+  # Guards against requests that fail on an entry with few of them, although another backend server could serve them.
+  Scenario: A new entry may repeat its first requests
     Given 1 entry that knows of 1 entry
-    When each of them gets 20 requests
+    When each of them gets 4 requests
     And each of them repeats as often as it may
-    Then at least 2 repeats were sent
+    Then at least 4 repeats were sent
--- a/packages/hyssopfront/src/gateway/repeats/repeat-budgets.ts
+++ b/packages/hyssopfront/src/gateway/repeats/repeat-budgets.ts
@@ -6,9 +6,12 @@
 /** Part of the allowed repeats that entries use; the rest covers differences between their windows. */
 const BUDGET_SHARE = 0.7;
 
+/** Repeats that an entry may send before it has had requests; few, as it does not know yet how many share the slack. */
+const REPEATS_AT_START = 5;
+
 /**
- * Creates the budgets. A budget starts empty and is filled by requests alone, and what it may save is an even part of the
- * slack by the entries that are there now: an entry that starts does not know yet how many share the slack.
+ * Creates the budgets. A budget starts nearly empty and is filled by requests, and what it may save is an even part of the
+ * slack by the entries that are there now.
  *
  * @param options.share Repeats that a service may get, as a share of its requests.
  * @param options.slack Repeats that a service may get beyond the share, from all entries together.
@@ -23,7 +26,8 @@
     const budgets = new Map<string, RatioBudget>();
     const burst = () => Math.max(1, options.slack * BUDGET_SHARE / options.entryCount());
     return service => {
-        const budget = budgets.get(service) ?? createRatioBudget(options.share * BUDGET_SHARE, burst, 0);
+        const budget = budgets.get(service)
+            ?? createRatioBudget(options.share * BUDGET_SHARE, burst, Math.min(REPEATS_AT_START, burst()));
         budgets.set(service, budget);
         return budget;
     };
