End attempts whose refusal or informational answers have no end

Callers waited for the whole timeout of the route and got 504 when a backend server sent informational answers without end, or a refusal whose body has no end although its head says that the request did not run; the entry read on all the while.

Of eight kinds of bytes without end, in a head or a body, a test showed these two to be held (504 after 1000 ms); the others were already ended by limits of the parser, by the missing signature, or cut at the timeout. An attempt now takes 16 informational answers and 64 KiB of a refusal's body; the refusal then counts, and its connection is closed.

--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -37,6 +37,32 @@
     When a caller asks orders
     Then the caller gets 502
 
+  # Guards against an entry that reads bytes of a broken backend server until its memory or processor is used up.
+  Scenario Outline: Bytes without end are not read on
+    Given orders-1 of orders <sends>
+    When a caller asks orders and gets <result>
+    Then the connection to orders-1 is closed within <milliseconds> ms after at most <mebibytes> MiB
+
+    Examples:
+      | sends                                   | result       | milliseconds | mebibytes |
+      | sends a head without end                | 502          | 500          | 8         |
+      | sends one header without end            | 502          | 500          | 8         |
+      | sends no answer without end             | 502          | 500          | 8         |
+      | sends informational answers without end | 502          | 500          | 8         |
+      | sends an unsigned body without end      | 502          | 500          | 8         |
+      | sends a refusal without end             | 503          | 500          | 8         |
+
+  # Guards against an endless answer that holds the caller beyond the timeout of the route.
+  Scenario Outline: A long answer is cut at the timeout of the route
+    Given orders-1 of orders <sends>
+    When a caller asks orders and gets a cut answer
+    Then the connection to orders-1 is closed within 300 ms
+
+    Examples:
+      | sends                           |
+      | sends a signed body without end |
+      | sends a failure without end     |
+
   # Guards against an order that runs twice.
   Scenario: A request that must not run twice is sent once when its connection is reset
     Given orders-1 of orders resets
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -35,6 +35,8 @@
     requests: string[];
     readonly requestedAt: number[];
     readonly sockets: Set<Socket>;
+    /** Bytes that entries have taken on connections that are closed. */
+    readonly bytesTaken: () => number;
     record: BackendRecord;
 };
 type Leavers = {
@@ -70,6 +72,22 @@
 const answerWhole: Behaviour = (socket, id) => void socket.write(head("200 OK", id, [SIGNED, LENGTH]) + BODY);
 const after = (milliseconds: number, behaviour: Behaviour): Behaviour => (socket, id) =>
     void setTimeout(() => behaviour(socket, id), milliseconds);
+/** Sends the beginning, and then the same bytes again and again until the entry closes the connection. */
+const endless = (begin: (id: string) => string, more: string): Behaviour => (socket, id) => {
+    const bytes = Buffer.from(more.repeat(Math.ceil(16_384 / more.length)));
+    const send = () => {
+        while (!socket.destroyed) {
+            if (!socket.write(bytes)) {
+                socket.once("drain", send);
+                return;
+            }
+        }
+    };
+    socket.write(begin(id));
+    send();
+};
+const CHUNKED = "transfer-encoding: chunked";
+const CHUNK = `400\r\n${"x".repeat(1_024)}\r\n`;
 const BEHAVIOURS: Readonly<Record<string, Behaviour>> = {
     "answers": answerWhole,
     "answers and is cold": answerWhole,
@@ -92,6 +110,17 @@
     "is another backend server": (socket, id) =>
         void socket.write(head("421 Misdirected Request", id, ["content-length: 0"])),
     "falls silent": () => undefined,
+    "sends a head without end": endless(id => `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n`, "x-more: yes\r\n"),
+    "sends one header without end": endless(() => "HTTP/1.1 200 OK\r\nx-more: ", "y"),
+    "sends no answer without end": endless(() => "", "no answer "),
+    "sends informational answers without end": endless(() => "", "HTTP/1.1 102 Processing\r\n\r\n"),
+    "sends an unsigned body without end": endless(id => head("200 OK", id, [CHUNKED]), CHUNK),
+    "sends a signed body without end": endless(id => head("200 OK", id, [SIGNED, CHUNKED]), CHUNK),
+    "sends a failure without end": endless(id => head("500 Oops", id, [SIGNED, CHUNKED]), CHUNK),
+    "sends a refusal without end": endless(
+        id => head("503 Service Unavailable", id, [`${NAMES.notRun}: 1`, CHUNKED]),
+        CHUNK,
+    ),
 };
 
 const tell = (item: Omit<Item, "source">) =>
@@ -188,10 +217,14 @@
 
 async function startStandIn(id: string, service: string, behaviour: Behaviour, coldMilliseconds: number) {
     const sockets = new Set<Socket>();
+    let bytesTaken = 0;
     const server = createServer(socket => {
         sockets.add(socket);
         socket.on("error", () => undefined);
-        socket.on("close", () => sockets.delete(socket));
+        socket.on("close", () => {
+            sockets.delete(socket);
+            bytesTaken += socket.bytesWritten - socket.writableLength;
+        });
         socket.on("data", data => {
             const text = data.toString();
             standIn.requests.push(text);
@@ -214,7 +247,14 @@
         sequence: 1,
         coldPortions: { "entry-1": 5 },
     };
-    const standIn: StandIn = { server, requests: [], requestedAt: [], sockets, record };
+    const standIn: StandIn = {
+        server,
+        requests: [],
+        requestedAt: [],
+        sockets,
+        bytesTaken: () => bytesTaken,
+        record,
+    };
     standIns.set(id, standIn);
     tellRecord(record);
     await settle();
@@ -256,6 +296,8 @@
 }
 
 const requestsOf = (id: string) => standIns.get(id)?.requests.length ?? 0;
+/** Status that a caller gets, or that its answer was cut. */
+const askForEnd = async (service: string) => ask(service).then(({ status }) => String(status), () => "a cut answer");
 const totalRequests = () => [...standIns.keys()].reduce((sum, id) => sum + requestsOf(id), 0);
 const lastAnswer = async () => {
     const answer = await answers.at(-1);
@@ -308,6 +350,12 @@
         await answers.at(-1);
     }
 });
+When("a caller asks {word} and gets {word}", async (service: string, status: string) => {
+    assert.equal(await askForEnd(service), status);
+});
+When("a caller asks {word} and gets a cut answer", async (service: string) => {
+    assert.equal(await askForEnd(service), "a cut answer");
+});
 When("{int} callers ask {word} at once", async (count: number, service: string) => {
     answers = Array.from({ length: count }, () => ask(service));
     await Promise.all(answers);
@@ -388,6 +436,16 @@
     await clock.sleep(milliseconds);
     assert.equal(totalRequests(), count);
 });
+Then(
+    "the connection to {word} is closed within {int} ms after at most {int} MiB",
+    async (id: string, milliseconds: number, mebibytes: number) => {
+        await waitUntil(() => standIns.get(id)?.sockets.size === 0);
+        const took = Date.now() - askedAt;
+        assert.ok(took <= milliseconds, `It was closed after ${took} ms.`);
+        const sent = (standIns.get(id)?.bytesTaken() ?? 0) / 2 ** 20;
+        assert.ok(sent <= mebibytes, `${sent.toFixed(1)} MiB were taken.`);
+    },
+);
 Then("the entry is not ready", () => assert.equal(gateway.isReady(), false));
 Then("the entry stopped after the answer", () => assert.ok(stoppedAt >= answeredAt, "It stopped before the answer."));
 Then("the entry has stopped within {int} ms", async (milliseconds: number) => {
--- a/packages/hyssopfront/src/routing/attempt.ts
+++ b/packages/hyssopfront/src/routing/attempt.ts
@@ -80,6 +80,11 @@
     discard(): void;
 };
 
+/** Informational answers before the final one; a backend server that sends more never ends. */
+const MAXIMUM_INFORMATIONAL_ANSWERS = 16;
+/** Largest body of a refusal that is read so that its connection can be kept, in bytes. */
+const MAXIMUM_REFUSAL_BYTES = 64 * 1024;
+
 const isFinal = (status: number) => status >= 200;
 
 /** Only a length or chunked coding shows where an answer ends (RFC 9112, section 6.3). */
@@ -111,6 +116,8 @@
     let isEnded = false;
     let forbidden: AnswerReason | undefined;
     let wasWritten = false;
+    let informationalAnswers = 0;
+    let refusalBytes = 0;
 
     const fail = (reason: AnswerReason, message: string) => {
         if (!isEnded) {
@@ -124,6 +131,12 @@
         controller?.abort(new Error(message));
     };
 
+    const endRefused = (refusal: AnswerHead) => {
+        isEnded = true;
+        ownership.discard();
+        listener.onRefused(refusal);
+    };
+
     const handler: Dispatcher.DispatchHandler = {
         onRequestStart: started => {
             if (wasWritten) {
@@ -140,7 +153,14 @@
             wasWritten = true;
         },
         onResponseStart: (started, status, headers) => {
-            if (isEnded || !isFinal(status)) {
+            if (isEnded) {
+                return;
+            }
+            if (!isFinal(status)) {
+                informationalAnswers += 1;
+                if (informationalAnswers > MAXIMUM_INFORMATIONAL_ANSWERS) {
+                    rejectAnswer("The backend server sends informational answers without end.");
+                }
                 return;
             }
             head = { status, headers };
@@ -164,7 +184,15 @@
         },
         onResponseData: (started, chunk) => {
             // Resuming gives an empty chunk; pausing on it again would never let the next bytes be read.
-            if (isEnded || isRefusal || chunk.length === 0) {
+            if (isEnded || chunk.length === 0) {
+                return;
+            }
+            if (isRefusal && head !== undefined) {
+                refusalBytes += chunk.length;
+                if (refusalBytes > MAXIMUM_REFUSAL_BYTES) {
+                    endRefused(head);
+                    started.abort(new Error("The body of the refusal is too long."));
+                }
                 return;
             }
             if (!listener.onData(chunk)) {
@@ -195,9 +223,7 @@
         },
         onResponseError: (_controller, error) => {
             if (isRefusal && head !== undefined && !isEnded) {
-                isEnded = true;
-                ownership.discard();
-                listener.onRefused(head);
+                endRefused(head);
                 return;
             }
             if (forbidden !== undefined) {
