--- a/packages/hyssopfront/src/gateway/dispatch.ts
+++ b/packages/hyssopfront/src/gateway/dispatch.ts
@@ -156,7 +156,7 @@
             if (!isStreaming && bytes > WHOLE_ANSWER_BYTES && head !== undefined) {
                 isStreaming = true;
                 sink.begin(head);
-                chunks.splice(0).forEach(held => sink.write(held, () => undefined));
+                sink.write(Buffer.concat(chunks.splice(0)), () => undefined);
             }
             if (isStreaming) {
                 return sink.write(chunk, () => attempt.resume());
