Let a load that was told long ago keep no request away

Callers of an entry got 503, or slow first runs elsewhere, for objects whose backend server had long had room again.

Cause: an entry refused requests for a backend server by the load that came with its last answer, and only a new answer could change that. A server that was full at the last answer got nothing more from this entry. On 35 entries a pair of entry and backend server meets every 10 s or so, so most loads are old.

A load is believed for 3 s while none of the entry's own requests is there to bring a new one. The new scenario of choose.feature fails without the bound.

--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -11,6 +11,16 @@
 /** A connection attempt across two regions takes well under this, in milliseconds; a dark server never answers. */
 const CONNECT_DEADLINE_MS = 400;
 
+/** Load as a backend server told it with an answer. */
+export type ToldLoad = {
+    readonly running: number;
+    readonly waiting: number;
+    /** Requests of this entry that were there when the answer came. */
+    readonly inFlightThen: number;
+    /** Monotonic milliseconds of the answer. */
+    readonly toldAt: number;
+};
+
 export type BackendServer = {
     record: BackendRecord;
     readonly region: string;
@@ -24,7 +34,7 @@
     /** Requests that this entry has sent while it was cold. */
     readonly coldWindow: ColdWindow;
     /** Load that it last told, requests of this entry included. */
-    load: { readonly running: number; readonly waiting: number; readonly inFlightThen: number } | undefined;
+    load: ToldLoad | undefined;
 };
 
 export type BackendServers = {
--- a/packages/hyssopfront/src/gateway/choice/choose.feature
+++ b/packages/hyssopfront/src/gateway/choice/choose.feature
@@ -36,5 +36,12 @@
     When all backend servers have 3 requests for 6 slots, and north-a-1 has 14
     Then there is no room for objects of north-a-1, and the others stay
 
+  # Guards against an entry that never uses a backend server again, since its last answer came while it was full.
+  Scenario: A load that was told long ago keeps no request away
+    When all backend servers are idle, and north-a-1 has 20 requests for 6 slots
+    Then each object of north-a-1 goes to the next backend server in its order
+    When 3100 ms pass without an answer
+    Then each object stays with its backend server
+
   Scenario: A bound route is kept in its home regions
     Then each object from north that is bound to south is in south
--- a/packages/hyssopfront/src/gateway/choice/choose.steps.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.steps.ts
@@ -1,5 +1,5 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { createSystemClock } from "@hyssopfront/coordination";
+import { createManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { BackendServerState } from "../../registry/backend-record.js";
 import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
@@ -8,6 +8,7 @@
 const OBJECTS = Array.from({ length: 100 }, (_, index) => `object-${index}`);
 const SLOTS = 6;
 
+const clock = createManualClock();
 let servers: BackendServers;
 let chooser: ServerChooser;
 let evacuated: Set<string>;
@@ -43,7 +44,7 @@
 const load = (requests: number, isMeant: (id: string) => boolean) =>
     servers.all().filter(({ record: { id } }) => isMeant(id)).forEach(server => {
         const running = Math.min(requests, SLOTS);
-        server.load = { running, waiting: requests - running, inFlightThen: 0 };
+        server.load = { running, waiting: requests - running, inFlightThen: 0, toldAt: clock.monotonicMilliseconds() };
     });
 const placeAll = () => new Map(OBJECTS.map(key => [key, chosen(key).record.id]));
 const countNorth = () => OBJECTS.filter(key => chosen(key).region === "north").length;
@@ -53,7 +54,7 @@
 Given("regions north and south with 4 backend servers of 6 slots each, in two zones a region", () => {
     evacuated = new Set();
     servers = createBackendServers({
-        clock: createSystemClock(),
+        clock,
         random: () => 0.5,
         regionOf,
         onConnect: () => undefined,
@@ -62,7 +63,7 @@
         [1, 2].forEach(number => servers.merge(record(zone, number)))
     );
     chooser = createServerChooser({
-        clock: createSystemClock(),
+        clock,
         servers,
         region: "north",
         regions: ["north", "south"],
@@ -113,6 +114,7 @@
     assert.ok(own.length > 0 && !next.has(id));
     OBJECTS.filter(key => before.get(key) !== id).forEach(key => assert.equal(chosen(key).record.id, before.get(key)));
 });
+When("{int} ms pass without an answer", (milliseconds: number) => clock.advance(milliseconds));
 Then("each object stays with its backend server", () => assert.deepEqual(placeAll(), before));
 Then("there is no room for objects of {word}, and the others stay", (id: string) => {
     const own = OBJECTS.filter(key => before.get(key) === id);
--- a/packages/hyssopfront/src/gateway/choice/choose.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.ts
@@ -14,6 +14,11 @@
 
 /** Requests that may wait at the backend server of their object, as a multiple of its slots; later ones would be late. */
 const WAITING_SHARE = 1.25;
+/**
+ * Time after which a load that was told keeps no request away any more, in milliseconds. Without it, a backend server
+ * that was full at the last answer would never get another request of this entry, whose answer would tell a new load.
+ */
+const LOAD_LIFETIME_MS = 3_000;
 /** Share of its slots below which a backend server takes requests for objects of others. */
 const IDLE_SHARE = 0.5;
 /** Orders that are kept; requests without an object have keys of their own, which are never asked for again. */
@@ -71,9 +76,13 @@
 
 const addressOf = ({ record }: BackendServer) => `${record.address}:${record.port}`;
 
-/** Requests that the backend server works on or holds back, as far as this entry can tell. */
-export function estimateLoad({ load, inFlight }: BackendServer): number {
-    return load === undefined
+/**
+ * Requests that the backend server works on or holds back, as far as this entry can tell.
+ *
+ * @param now Monotonic milliseconds.
+ */
+export function estimateLoad({ load, inFlight }: BackendServer, now: number): number {
+    return load === undefined || (inFlight === 0 && now - load.toldAt > LOAD_LIFETIME_MS)
         ? inFlight
         : Math.max(inFlight, load.running + load.waiting + inFlight - load.inFlightThen);
 }
@@ -136,14 +145,17 @@
             const able = allowed.filter(server =>
                 isHealthy(server) && server.inFlight < connectionLimit && hasColdRoom(server)
             );
+            const now = clock.monotonicMilliseconds();
             const [home, ...others] = able;
-            if (home !== undefined && estimateLoad(home) < home.record.slots * (1 + WAITING_SHARE)) {
+            if (home !== undefined && estimateLoad(home, now) < home.record.slots * (1 + WAITING_SHARE)) {
                 return home;
             }
-            return others.find(server => estimateLoad(server) < server.record.slots * IDLE_SHARE) ?? NoServer.NoRoom;
+            return others.find(server => estimateLoad(server, now) < server.record.slots * IDLE_SHARE)
+                ?? NoServer.NoRoom;
         },
         summarizeRoom: request => {
             const connectionLimit = options.connectionLimit(request.service);
+            const now = clock.monotonicMilliseconds();
             const summary = { ejected: 0, cold: 0, outOfConnections: 0, full: 0, withFreeSlots: 0 };
             findAllowed(request).forEach(server => {
                 if (!isHealthy(server)) {
@@ -155,7 +167,7 @@
                 else if (!hasColdRoom(server)) {
                     summary.cold += 1;
                 }
-                else if (estimateLoad(server) >= server.record.slots) {
+                else if (estimateLoad(server, now) >= server.record.slots) {
                     summary.full += 1;
                 }
                 else {
--- a/packages/hyssopfront/src/gateway/choice/simulated-service.ts
+++ b/packages/hyssopfront/src/gateway/choice/simulated-service.ts
@@ -233,7 +233,7 @@
                 end: (isRefused, load) =>
                     schedule(delay, () => {
                         if (!isEnded) {
-                            server.load = { ...load, inFlightThen: server.inFlight };
+                            server.load = { ...load, inFlightThen: server.inFlight, toldAt: now };
                         }
                         finish(isRefused ? "refused" : "answered");
                     }),
--- a/packages/hyssopfront/src/gateway/dispatch.ts
+++ b/packages/hyssopfront/src/gateway/dispatch.ts
@@ -60,11 +60,11 @@
     status >= 300
     || (headers[names.answerSignature] !== undefined && headers["content-encoding"] === undefined);
 
-function noteLoad(server: BackendServer, head: AnswerHead, names: MessageHeaders): void {
+function noteLoad(server: BackendServer, head: AnswerHead, names: MessageHeaders, toldAt: number): void {
     const parts = firstValue(head.headers[names.load])?.split(",").map(Number);
     const [running, waiting] = parts ?? [];
     if (running !== undefined && waiting !== undefined && Number.isFinite(running + waiting)) {
-        server.load = { running, waiting, inFlightThen: server.inFlight };
+        server.load = { running, waiting, inFlightThen: server.inFlight, toldAt };
     }
 }
 
@@ -111,7 +111,7 @@
         if (!isEnded) {
             isEnded = true;
             if (head !== undefined) {
-                noteLoad(server, head, names);
+                noteLoad(server, head, names, clock.monotonicMilliseconds());
             }
             server.inFlight -= 1;
             resolveResult({ end, head, body, message });
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -229,7 +229,7 @@
             const isFirst = affinityKey !== undefined && !server.warmUp.isWarm(affinityKey);
             const noteEnd = affinityKey === undefined ? undefined : server.warmUp.begin(affinityKey);
             const sentAt = clock.monotonicMilliseconds();
-            const load = estimateLoad(server);
+            const load = estimateLoad(server, sentAt);
             const result = await send(server);
             noteEnd?.(result.end === DispatchEnd.Answered && (result.head?.status ?? 0) < 300);
             const { head, body, end } = result;
