--- a/packages/hyssopfront/src/cold-ramp/cold-ramp.steps.ts
+++ b/packages/hyssopfront/src/cold-ramp/cold-ramp.steps.ts
@@ -9,7 +9,7 @@
 import { type Item, ItemKind, type ItemValue } from "../catalog/items.js";
 import { NO_EVENT_LOG } from "../event-log/event-log.js";
 import { type GatewayControl, startGatewayControl } from "../gateway-control/start-gateway-control.js";
-import type { MessageHeaders } from "../gateway/message-headers.js";
+import { SAMPLE_HEADERS as NAMES } from "../gateway/sample-headers.js";
 import { type Gateway, startGateway } from "../gateway/start-gateway.js";
 import { createTextMetrics } from "../metrics/text-metrics.js";
 import { type BackendAnnouncement, BackendServerState } from "../registry/backend-record.js";
@@ -22,16 +22,6 @@
 const CHANGE_DEADLINE_MS = 2_000;
 const STOP_MS = 500;
 const SECOND_MS = 1_000;
-const NAMES: MessageHeaders = {
-    requestId: "test-request-id",
-    deadline: "test-deadline",
-    affinityCookie: "test-object",
-    answerSignature: "test-signature",
-    expectedBackendServer: "test-expected",
-    notRun: "test-not-run",
-    load: "test-load",
-    retryAfter: "retry-after",
-};
 
 setDefaultTimeout(3 * SETTLE_MS);
 
--- a/packages/hyssopfront/src/gateway/choice/choose.steps.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.steps.ts
@@ -4,6 +4,7 @@
 import { BackendServerState } from "../../registry/backend-record.js";
 import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
 import { createServerChooser, NoServer, type ServerChooser } from "./choose.js";
+import { spreadHash } from "./simulated-service.js";
 
 const OBJECTS = Array.from({ length: 100 }, (_, index) => `object-${index}`);
 const SLOTS = 6;
@@ -14,12 +15,6 @@
 let evacuated: Set<string>;
 let before: Map<string, string>;
 
-/** FNV-1a with a final mix, as similar keys must give unrelated numbers. */
-const hash = (text: string) => {
-    const mixed = [...text].reduce((sum, letter) => Math.imul(sum ^ letter.charCodeAt(0), 16_777_619), 2_166_136_261);
-    const spread = Math.imul(mixed ^ (mixed >>> 16), 0x45d9f3b);
-    return (spread ^ (spread >>> 16)) >>> 0;
-};
 const regionOf = (zone: string) => zone.split("-")[0] as string;
 const record = (zone: string, number: number) => ({
     id: `${zone}-${number}`,
@@ -67,7 +62,7 @@
         servers,
         region: "north",
         regions: ["north", "south"],
-        hash,
+        hash: spreadHash,
         entryName: "entry-1",
         connectionLimit: () => Infinity,
         isEvacuated: zone => evacuated.has(zone),
--- a/packages/hyssopfront/src/gateway/choice/simulated-service.ts
+++ b/packages/hyssopfront/src/gateway/choice/simulated-service.ts
@@ -56,8 +56,8 @@
 
 type Server = { arrive(run: Run): void; cancel(run: Run): void };
 
-/** Mixes well enough for rendezvous hashing. */
-const hash = (text: string) => {
+/** FNV-1a with a final mix, as similar keys must give unrelated numbers. */
+export const spreadHash = (text: string) => {
     const mixed = [...text].reduce((sum, letter) => Math.imul(sum ^ letter.charCodeAt(0), 16_777_619), 2_166_136_261);
     const spread = Math.imul(mixed ^ (mixed >>> 16), 0x45d9f3b);
     return (spread ^ (spread >>> 16)) >>> 0;
@@ -163,7 +163,7 @@
             servers,
             region,
             regions,
-            hash,
+            hash: spreadHash,
             entryName: region,
             connectionLimit: () => 40,
             isEvacuated: zone => service.isEvacuated(zone, now),
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -10,20 +10,10 @@
 import { createTextMetrics } from "../metrics/text-metrics.js";
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
 import { type LoopLag, measureLoopLag } from "./loop-lag.js";
-import type { MessageHeaders } from "./message-headers.js";
+import { SAMPLE_HEADERS as NAMES } from "./sample-headers.js";
 import { type Gateway, startGateway } from "./start-gateway.js";
 
 const HOST = "127.0.0.1";
-const NAMES: MessageHeaders = {
-    requestId: "test-request-id",
-    deadline: "test-deadline",
-    affinityCookie: "test-object",
-    answerSignature: "test-signature",
-    expectedBackendServer: "test-expected",
-    notRun: "test-not-run",
-    load: "test-load",
-    retryAfter: "retry-after",
-};
 const BODY = "x".repeat(2_000);
 const STOP_MS = 900;
 const DEADLINE_MS = 1_500;
