--- a/packages/hyssopfront/src/gateway/choice/choose.feature
+++ b/packages/hyssopfront/src/gateway/choice/choose.feature
@@ -35,6 +35,8 @@
   Scenario: Objects of a backend server that is full do not go to busy ones
     When all backend servers have 3 requests for 6 slots, and north-a-1 has 14
     Then there is no room for objects of north-a-1, and the others stay
+    When all backend servers have 18 requests for 6 slots
+    Then there is no room
 
   # Guards against an entry that never uses a backend server again, since its last answer came while it was full.
   Scenario: A load that was told long ago keeps no request away
--- a/packages/hyssopfront/src/gateway/choice/choose.steps.ts
+++ b/packages/hyssopfront/src/gateway/choice/choose.steps.ts
@@ -86,6 +86,7 @@
         load(Number(requestsThere), other => other === id);
     },
 );
+When("all backend servers have {int} requests for 6 slots", (requests: number) => load(requests, () => true));
 When("all backend servers but {word} have {int} requests for 6 slots", (id: string, requests: number) => {
     load(0, other => other === id);
     load(requests, other => other !== id);
@@ -111,6 +112,7 @@
 });
 When("{int} ms pass without an answer", (milliseconds: number) => clock.advance(milliseconds));
 Then("each object stays with its backend server", () => assert.deepEqual(placeAll(), before));
+Then("there is no room", () => OBJECTS.forEach(key => assert.equal(choose(key), NoServer.NoRoom)));
 Then("there is no room for objects of {word}, and the others stay", (id: string) => {
     const own = OBJECTS.filter(key => before.get(key) === id);
     assert.ok(own.length > 0);
