Stop using backend servers that say they leave or ask for a pause, and trust a rejection only if it answers the request

Cause: the gateway read neither the leaving notice nor the Retry-After of a backend server. A rejection without a request id counted for the request in flight also on a reused connection, where it can be a late copy of an earlier one, and a 503 or 429 that is no rejection was forwarded for requests that must not be repeated. Change: a response with the notice withdraws that incarnation for good; a 503 with Retry-After pauses the server, which comes back with one request at a time; callers get the end of the first pause if all servers pause. A rejection without an id counts only on a new connection, which is then closed.

--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -44,8 +44,13 @@
     merge(record: BackendRecord): boolean;
     /** Backend servers of a service that may get requests, in no particular order. */
     listUsable(service: string): readonly BackendServer[];
-    /** Stops using a backend server because a different one responds at its address. */
-    markReplaced(server: BackendServer): void;
+    /**
+     * Stops using this incarnation of a backend server for good, because it says that it is leaving or a different one
+     * responds at its address. Requests in flight continue.
+     *
+     * @returns False if it was no longer used.
+     */
+    stopUsing(server: BackendServer): boolean;
     /** Changes whenever the usable backend servers of any service change. */
     readonly generation: number;
     listAll(): readonly BackendServer[];
@@ -66,7 +71,8 @@
 }): BackendServers {
     const { clock, random } = options;
     const servers = new Map<string, BackendServer>();
-    const replaced = new Set<string>();
+    /** Incarnations that must not be used again, whatever their records say. */
+    const withdrawnIncarnations = new Set<string>();
     /**
      * Last records of backend servers that are no longer usable, so that an older announcement does not restore them.
      */
@@ -84,7 +90,7 @@
     };
     const incarnationKey = ({ id, startedAt }: BackendRecord) => `${id}@${startedAt}`;
     const isUsable = ({ record }: BackendServer) =>
-        record.state === BackendServerState.Ready && !replaced.has(incarnationKey(record));
+        record.state === BackendServerState.Ready && !withdrawnIncarnations.has(incarnationKey(record));
 
     const createServer = (record: BackendRecord): BackendServer => ({
         record,
@@ -140,10 +146,15 @@
             return true;
         },
         listUsable: service => usableByService.get(service) ?? [],
-        markReplaced: server => {
-            replaced.add(incarnationKey(server.record));
+        stopUsing: server => {
+            const key = incarnationKey(server.record);
+            if (withdrawnIncarnations.has(key)) {
+                return false;
+            }
+            withdrawnIncarnations.add(key);
             server.connections.close();
             rebuildIndex();
+            return true;
         },
         get generation() {
             return generation;
--- a/packages/hyssopfront/src/gateway/dispatch.ts
+++ b/packages/hyssopfront/src/gateway/dispatch.ts
@@ -84,6 +84,7 @@
  * has failed.
  *
  * @param options.endsAt Deadline of the request, in monotonic milliseconds.
+ * @param options.onResponseHead Called as soon as the head of a response to this request arrives, rejections included.
  * @param options.sink Receives the response if it is too long to buffer.
  */
 export function dispatch(options: {
@@ -93,6 +94,7 @@
     readonly headerNames: HeaderNames;
     readonly connectionLimit: number;
     readonly endsAt: number;
+    readonly onResponseHead: (head: ResponseHead) => void;
     readonly sink: ResponseSink;
 }): Dispatch {
     const { clock, server, request, headerNames, sink } = options;
@@ -136,6 +138,7 @@
         isRejection: ({ status, headers }) => headers[headerNames.notExecuted] !== undefined || status === 421,
         allowsCloseDelimited: true,
     };
+    let hasRequestId = false;
     const isBufferedBody = request.body === undefined || Buffer.isBuffer(request.body);
     const attempt: Attempt = startAttempt(connection, {
         method: request.method,
@@ -150,15 +153,19 @@
         body: isBufferedBody ? request.body as Buffer | undefined : request.body.chunks,
         requestId: request.id,
         responseRules: rules,
-        // A backend server that rejects a request unread does not return the request id.
-        expectsRequestId: response => !rules.isRejection(response),
-        onRequestIdReturned: () => undefined,
+        // A backend server that rejects a request unread does not return the request id. On a reused connection, such a
+        // rejection may be a late copy of an earlier one, which says nothing about this request.
+        expectsRequestId: response => !rules.isRejection(response) || connection.isReused,
+        onRequestIdReturned: () => {
+            hasRequestId = true;
+        },
         // The deadline timer may fire late on a busy or throttled instance.
         checkBeforeWriting: () =>
             isEnded || clock.monotonicMilliseconds() >= options.endsAt ? FailureReason.DeadlinePassed : undefined,
     }, {
         onHead: responseHead => {
             head = responseHead;
+            options.onResponseHead(responseHead);
             if (!isAuthentic(responseHead, headerNames)) {
                 attempt.cancel();
                 finish(DispatchOutcome.Failed, "The response has no signature of the backend server, or is encoded.");
@@ -188,6 +195,7 @@
         },
         onRejected: rejection => {
             head = rejection;
+            options.onResponseHead(rejection);
             finish(
                 rejection.status === 421 ? DispatchOutcome.Replaced : DispatchOutcome.Rejected,
                 `Status ${rejection.status}.`,
@@ -202,8 +210,12 @@
         },
     }, {
         // If the backend server responds before it has read all of a streamed body, the rest of the body is left on the
-        // connection, which therefore cannot be reused.
-        release: () => isBufferedBody ? server.connections.release(connection) : server.connections.discard(connection),
+        // connection, which therefore cannot be reused. After a response without an id, a second copy of it could not be
+        // told from the next response.
+        release: () =>
+            isBufferedBody && hasRequestId
+                ? server.connections.release(connection)
+                : server.connections.discard(connection),
         discard: () => server.connections.discard(connection),
     });
     return {
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -12,23 +12,34 @@
 import type { GatewayRequest } from "./gateway-request.js";
 import type { HeaderNames } from "./header-names.js";
 import { estimateLoad, type LoadBalancer, SelectionFailure } from "./load-balancing/load-balancer.js";
+import { applyServerNotices } from "./server-notices.js";
 
 /** Dispatches beyond the route's maximum attempts, allowed because a rejected dispatch does not run the request. */
 const MAXIMUM_EXTRA_DISPATCHES = 2;
 /** Share of the remaining time that a rejected caller should wait before it retries; callers honor up to a third. */
 const RETRY_AFTER_SHARE = 0.15;
 const MAXIMUM_RETRY_AFTER_MS = 400;
+/** Time over which callers return after a pause of all backend servers, in milliseconds, so that they do not all return at once. */
+const PAUSE_END_SPREAD_MS = 500;
 /** Maximum wait for the first request for an object, as a multiple of the latency objective of the route. */
 const FIRST_REQUEST_WAIT_RATIO = 2;
 /** Remaining time below which another backend server could not respond in time, in milliseconds. */
 const MINIMUM_ATTEMPT_MS = 30;
 
+/**
+ * Statuses that tell a caller that its request has not run. A response with one of them that is not a rejection does not
+ * prove that, so it is not forwarded if the request must not be repeated.
+ */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+
 /** What forwarding needs from its entry. */
 export type ForwardDependencies = {
     readonly clock: Clock;
     readonly counters: Counters;
     readonly log: EventLog;
     readonly timers: Timers;
+    /** Uniform numbers from 0 to 1, for the jitter of retry times. */
+    readonly random: () => number;
     readonly headerNames: HeaderNames;
     readonly servers: BackendServers;
     readonly loadBalancer: LoadBalancer;
@@ -75,7 +86,7 @@
             log(EventLevel.Warning, "backend server unreachable", { server: id, reason: result.message });
             break;
         case DispatchOutcome.Replaced:
-            dependencies.servers.markReplaced(server);
+            dependencies.servers.stopUsing(server);
             log(EventLevel.Warning, "backend server replaced", { server: id });
             break;
         case DispatchOutcome.Failed:
@@ -152,8 +163,10 @@
         state.current?.cancel();
     };
     const remaining = () => endsAt - clock.monotonicMilliseconds();
-    const reject = (outcome: ForwardOutcome) => {
-        const retryAfterMilliseconds = Math.min(MAXIMUM_RETRY_AFTER_MS, Math.max(0, remaining()) * RETRY_AFTER_SHARE);
+    const reject = (outcome: ForwardOutcome, pauseMilliseconds = 0) => {
+        const retryAfterMilliseconds = pauseMilliseconds > 0
+            ? pauseMilliseconds + dependencies.random() * PAUSE_END_SPREAD_MS
+            : Math.min(MAXIMUM_RETRY_AFTER_MS, Math.max(0, remaining()) * RETRY_AFTER_SHARE);
         caller.sendLocalResponse({ status: 503, retryAfterMilliseconds });
         return outcome;
     };
@@ -196,6 +209,7 @@
             headerNames: dependencies.headerNames,
             connectionLimit: dependencies.connectionLimit(service),
             endsAt,
+            onResponseHead: head => applyServerNotices(dependencies, server, head),
             sink: caller.sink,
         });
         const result = await state.current.result;
@@ -239,7 +253,10 @@
                     caller.sendLocalResponse({ status: 502 });
                     return ForwardOutcome.Failed;
                 }
-                return reject(state.dispatches > 0 ? ForwardOutcome.Rejected : ForwardOutcome.NoBackendServer);
+                return reject(
+                    state.dispatches > 0 ? ForwardOutcome.Rejected : ForwardOutcome.NoBackendServer,
+                    dependencies.loadBalancer.pauseMilliseconds(selectionRequest),
+                );
             }
             const firstRequestEnd = skipsWait ? undefined : server.warmUp.firstRequestEnd(affinityKey ?? "");
             if (firstRequestEnd !== undefined) {
@@ -283,6 +300,10 @@
             }
             switch (outcome) {
                 case DispatchOutcome.Completed:
+                    if (!route.isIdempotent && NOT_RUN_STATUSES.has(head?.status ?? 0)) {
+                        caller.sendLocalResponse({ status: 502 });
+                        return ForwardOutcome.Failed;
+                    }
                     caller.send(head as NonNullable<typeof head>, body ?? Buffer.alloc(0));
                     return ForwardOutcome.Completed;
                 case DispatchOutcome.Streamed:
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -117,6 +117,97 @@
     When a caller sends a request to orders
     Then the caller gets 502
 
+  # Guards against a request that may have run and that its caller repeats: a faulty backend server has written an earlier
+  # rejection once more.
+  Scenario: A rejection without an id on a reused connection does not prove that the request has not run
+    Given orders-1 of orders responds once and then rejects without an id
+    When a caller sends a request to orders
+    Then the caller gets 200 with the body and signature of the backend server
+    When a caller sends a request to orders
+    Then the caller gets 502
+
+  Scenario: A rejection without an id on a new connection is forwarded, and the connection is not reused
+    Given orders-1 of orders rejects without an id
+    When a caller sends a request to orders 2 times
+    Then each caller gets 503
+
+  Scenario: A late copy of an earlier rejection is not taken for the response to the next request
+    Given orders-1 of orders writes each rejection again before the next response
+    When a caller sends a request to orders
+    Then the caller gets 503 with the time after which to retry
+    When a caller sends a request to orders
+    Then the caller gets 502
+
+  Scenario Outline: A status that promises that a request has not run is not forwarded without proof
+    Given orders-1 of orders <responds>
+    When a caller sends a request to orders
+    Then the caller gets 502
+
+    Examples:
+      | responds                              |
+      | responds 503 and may have run it      |
+      | responds 429 and may have run it      |
+
+  # Guards against requests to a backend server that is about to exit.
+  Scenario Outline: A backend server whose response says that it is leaving gets no more requests
+    Given stoc-1 of stoc <responds>
+    And stoc-2 of stoc responds
+    When a caller sends a request to stoc 8 times
+    Then each caller gets 200
+    And stoc-1 got at most 1 request
+    When stoc-1 announces itself again
+    And a caller sends a request to stoc 8 times
+    Then stoc-1 got at most 1 request
+
+    Examples:
+      | responds                                       |
+      | responds and says that it is leaving           |
+      | rejects the request and says that it is leaving |
+      | fails and says that it is leaving              |
+
+  Scenario: A later incarnation of a backend server that has left gets requests
+    Given stoc-1 of stoc responds and says that it is leaving
+    When a caller sends a request to stoc
+    And a caller sends a request to stoc
+    Then the caller gets 503 with the time after which to retry
+    When stoc-1 restarts
+    And a caller sends a request to stoc
+    Then the caller gets 200 with the body and signature of the backend server
+
+  # Guards against requests to a backend server that has asked for a pause.
+  Scenario: A backend server that asks for a pause gets no requests until it ends
+    Given orders-1 of orders rejects requests and asks for a pause of 0.7 s
+    And orders-2 of orders responds
+    When a caller sends a request to orders 12 times
+    Then each caller gets 200
+    And orders-1 got at most 1 request
+    When 800 ms pass
+    And a caller sends a request to orders 12 times
+    Then orders-1 got at least 2 requests
+
+  Scenario: Callers are told when the first pause ends if all backend servers have asked for one
+    Given orders-1 of orders rejects requests and asks for a pause of 20 s
+    When a caller sends a request to orders
+    And a caller sends a request to orders
+    Then the caller gets 503 with between 19 and 21 s after which to retry
+    And the backend servers got 1 request
+
+  # Guards against a faulty backend server that excludes itself for hours, or at dates by its own clock.
+  Scenario Outline: A pause is accepted as a positive number of seconds and limited to 5 minutes
+    Then the pause "<value>" is <milliseconds> ms
+
+    Examples:
+      | value                         | milliseconds |
+      | 2                             | 2000         |
+      | 0.25                          | 250          |
+      | 99999999999                   | 300000       |
+      | 0                             | no           |
+      | -3                            | no           |
+      | 1e9                           | no           |
+      | NaN                           | no           |
+      | soon                          | no           |
+      | Wed, 21 Oct 2026 07:28:00 GMT | no           |
+
   # Guards against requests to an address that now belongs to another backend server.
   Scenario: A backend server that was replaced at its address gets no more requests
     Given orders-1 of orders is another backend server
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -11,6 +11,7 @@
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
 import { type EventLoopLag, measureEventLoopLag } from "./event-loop-lag.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "./sample-header-names.js";
+import { parsePauseMilliseconds } from "./server-notices.js";
 import { type Gateway, startGateway } from "./start-gateway.js";
 
 const HOST = "127.0.0.1";
@@ -81,6 +82,21 @@
     socket.write(begin(id));
     send();
 };
+const LEAVING_HEADER = `${NAMES.leaving}: 1`;
+const rejectWithoutId: Behavior = socket =>
+    void socket.write(`HTTP/1.1 503 Service Unavailable\r\n${NAMES.notExecuted}: 1\r\ncontent-length: 0\r\n\r\n`);
+const askForPause = (seconds: string): Behavior => (socket, id) =>
+    void socket.write(
+        head("503 Service Unavailable", id, [
+            `${NAMES.notExecuted}: 1`,
+            `${NAMES.retryAfter}: ${seconds}`,
+            "content-length: 0",
+        ]),
+    );
+/** Numbers of the requests that arrived on each connection. */
+const requestCounts = new WeakMap<Socket, number>();
+const requestsOf = (socket: Socket) => requestCounts.get(socket) ?? 0;
+const earlierRejections = new WeakMap<Socket, string>();
 const CHUNKED_HEADER = "transfer-encoding: chunked";
 const CHUNK = `400\r\n${"x".repeat(1_024)}\r\n`;
 const BEHAVIORS: Readonly<Record<string, Behavior>> = {
@@ -105,6 +121,27 @@
     "responds without a signature": (socket, id) => void socket.write(head("200 OK", id, [LENGTH_HEADER]) + BODY),
     "rejects the request": (socket, id) =>
         void socket.write(head("503 Service Unavailable", id, [`${NAMES.notExecuted}: 1`, "content-length: 0"])),
+    "rejects without an id": rejectWithoutId,
+    "responds once and then rejects without an id": (socket, id) =>
+        (requestsOf(socket) === 1 ? respond : rejectWithoutId)(socket, id),
+    "writes each rejection again before the next response": (socket, id) => {
+        const rejection = head("503 Service Unavailable", id, [`${NAMES.notExecuted}: 1`, "content-length: 0"]);
+        socket.write((earlierRejections.get(socket) ?? "") + rejection);
+        earlierRejections.set(socket, rejection);
+    },
+    "responds 503 and may have run it": (socket, id) =>
+        void socket.write(head("503 Service Unavailable", id, ["content-length: 0"])),
+    "responds 429 and may have run it": (socket, id) =>
+        void socket.write(head("429 Too Many Requests", id, ["content-length: 0"])),
+    "responds and says that it is leaving": respondWithHeader(LEAVING_HEADER),
+    "rejects the request and says that it is leaving": (socket, id) =>
+        void socket.write(
+            head("503 Service Unavailable", id, [`${NAMES.notExecuted}: 1`, LEAVING_HEADER, "content-length: 0"]),
+        ),
+    "fails and says that it is leaving": (socket, id) =>
+        void socket.write(head("500 Oops", id, [SIGNATURE_HEADER, LEAVING_HEADER, "content-length: 0"])),
+    "rejects requests and asks for a pause of 0.7 s": askForPause("0.7"),
+    "rejects requests and asks for a pause of 20 s": askForPause("20"),
     "is another backend server": (socket, id) =>
         void socket.write(head("421 Misdirected Request", id, ["content-length: 0"])),
     "does not respond": () => undefined,
@@ -236,6 +273,7 @@
             const text = data.toString();
             fakeServer.requests.push(text);
             fakeServer.requestedAt.push(Date.now());
+            requestCounts.set(socket, requestsOf(socket) + 1);
             behavior(socket, new RegExp(`${NAMES.requestId}: (\\S+)`, "i").exec(text)?.[1] ?? "");
         });
     });
@@ -408,6 +446,15 @@
     publishRecord({ ...fakeServer.record, state: BackendServerState.Draining, sequence: 2 });
     await waitForFeed();
 });
+When("{word} announces itself again", async (id: string) => {
+    publishRecord({ ...(fakeServers.get(id) as FakeBackendServer).record, sequence: 2, slots: 5 });
+    await waitForFeed();
+});
+When("{word} restarts", async (id: string) => {
+    publishRecord({ ...(fakeServers.get(id) as FakeBackendServer).record, startedAt: 2 });
+    await waitForFeed();
+});
+When("{int} ms pass", (milliseconds: number) => clock.sleep(milliseconds));
 const setEvacuation = async (isActive: boolean, version: number) => {
     const kind = ItemKind.Evacuation;
     publishItem({ kind, name: "z1", version, value: { kind, isActive } });
@@ -453,6 +500,21 @@
     assert.equal(status, 503);
     assert.ok(Number(headers["retry-after"]) >= 0);
 });
+Then(
+    "the caller gets 503 with between {int} and {int} s after which to retry",
+    async (least: number, most: number) => {
+        const { status, headers } = await lastResponse();
+        const seconds = Number(headers["retry-after"]);
+        assert.equal(status, 503);
+        assert.ok(seconds >= least && seconds <= most, `It was ${seconds} s.`);
+    },
+);
+Then(/^the pause "(.*)" is (\d+|no) ms$/, (value: string, milliseconds: string) => {
+    assert.equal(parsePauseMilliseconds(value), milliseconds === "no" ? undefined : Number(milliseconds));
+});
+Then("{word} got at least {int} requests", (id: string, count: number) => {
+    assert.ok(countRequests(id) >= count, `It got ${countRequests(id)} requests.`);
+});
 Then("each caller gets {int}", async (status: number) => {
     assert.deepEqual((await Promise.all(responses)).map(response => response.status), responses.map(() => status));
 });
--- a/packages/hyssopfront/src/gateway/header-names.ts
+++ b/packages/hyssopfront/src/gateway/header-names.ts
@@ -16,6 +16,11 @@
     readonly notExecuted: string;
     /** In a response: running requests, queued requests and slots, separated by commas. */
     readonly load: string;
-    /** Seconds after which a rejected caller should retry. */
+    /**
+     * Seconds after which a rejected caller should retry. In a 503 response of a backend server: seconds for which it
+     * wants no requests from this entry.
+     */
     readonly retryAfter: string;
+    /** In a response: the backend server is leaving and wants no further requests. */
+    readonly leaving: string;
 };
--- a/packages/hyssopfront/src/gateway/load-balancing/health.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/health.ts
@@ -18,7 +18,9 @@
     Healthy = "healthy",
     /** Gets no requests until the ejection ends. */
     Ejected = "ejected",
-    /** The ejection has ended: gets one request at a time until one succeeds. */
+    /** It has asked for a pause: gets no requests until the pause ends. */
+    Paused = "paused",
+    /** The ejection or pause has ended: gets one request at a time until one succeeds. */
     Trial = "trial",
 }
 
@@ -34,6 +36,10 @@
     recordFailure(): boolean;
     /** Ejects the backend server at once, as it cannot be reached or does not respond at all. */
     eject(): void;
+    /** Stops requests for a time in milliseconds, as the backend server has asked for. A shorter pause changes nothing. */
+    pause(milliseconds: number): void;
+    /** End of the last pause, in monotonic milliseconds. */
+    pausedUntil(): number;
 };
 
 /**
@@ -47,6 +53,7 @@
     let ejectedUntil = 0;
     let ejectionMilliseconds = BASE_EJECTION_MS;
     let isUnhealthy = false;
+    let pausedUntil = -Infinity;
 
     const eject = () => {
         const now = clock.monotonicMilliseconds();
@@ -64,12 +71,16 @@
             if (!isUnhealthy) {
                 return HealthState.Healthy;
             }
-            return clock.monotonicMilliseconds() < ejectedUntil ? HealthState.Ejected : HealthState.Trial;
+            const now = clock.monotonicMilliseconds();
+            if (now < pausedUntil) {
+                return HealthState.Paused;
+            }
+            return now < ejectedUntil ? HealthState.Ejected : HealthState.Trial;
         },
         recordSuccess: () => {
             responses += 1;
             failureRatio *= 1 - FAILURE_RATIO_SMOOTHING;
-            if (isUnhealthy && clock.monotonicMilliseconds() >= ejectedUntil) {
+            if (isUnhealthy && clock.monotonicMilliseconds() >= Math.max(ejectedUntil, pausedUntil)) {
                 isUnhealthy = false;
                 failureRatio = 0;
                 responses = 0;
@@ -87,5 +98,10 @@
             return shouldEject;
         },
         eject,
+        pause: milliseconds => {
+            pausedUntil = Math.max(pausedUntil, clock.monotonicMilliseconds() + milliseconds);
+            isUnhealthy = true;
+        },
+        pausedUntil: () => pausedUntil,
     };
 }
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
@@ -51,6 +51,8 @@
  */
 export type CapacitySummary = {
     readonly ejected: number;
+    /** In a pause that they have asked for. */
+    readonly paused: number;
     /** At their slow-start quota. */
     readonly cold: number;
     readonly outOfConnections: number;
@@ -64,6 +66,11 @@
     selectServer(selectionRequest: SelectionRequest): BackendServer | SelectionFailure;
     /** Counts the backend servers by what prevents their selection, to log why `selectServer` finds no capacity. */
     summarizeCapacity(selectionRequest: SelectionRequest): CapacitySummary;
+    /**
+     * Time in milliseconds until the first pause of a backend server ends, if all that may serve the request have asked
+     * for one; otherwise 0.
+     */
+    pauseMilliseconds(selectionRequest: SelectionRequest): number;
 };
 
 /** Dependencies and identity of a load balancer. */
@@ -177,9 +184,12 @@
         summarizeCapacity: selectionRequest => {
             const connectionLimit = options.connectionLimit(selectionRequest.service);
             const now = clock.monotonicMilliseconds();
-            const summary = { ejected: 0, cold: 0, outOfConnections: 0, full: 0, withFreeSlots: 0 };
+            const summary = { ejected: 0, paused: 0, cold: 0, outOfConnections: 0, full: 0, withFreeSlots: 0 };
             rankAllowed(selectionRequest).forEach(server => {
-                if (!isHealthy(server)) {
+                if (server.health.state() === HealthState.Paused) {
+                    summary.paused += 1;
+                }
+                else if (!isHealthy(server)) {
                     summary.ejected += 1;
                 }
                 else if (server.inFlight >= connectionLimit) {
@@ -197,5 +207,11 @@
             });
             return summary;
         },
+        pauseMilliseconds: selectionRequest => {
+            const allowed = rankAllowed(selectionRequest);
+            return allowed.length > 0 && allowed.every(({ health }) => health.state() === HealthState.Paused)
+                ? Math.min(...allowed.map(({ health }) => health.pausedUntil())) - clock.monotonicMilliseconds()
+                : 0;
+        },
     };
 }
--- a/packages/hyssopfront/src/gateway/sample-header-names.ts
+++ b/packages/hyssopfront/src/gateway/sample-header-names.ts
@@ -12,4 +12,5 @@
     notExecuted: "test-not-run",
     load: "test-load",
     retryAfter: "retry-after",
+    leaving: "test-leaving",
 };
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -178,6 +178,7 @@
         counters: metrics,
         log,
         timers,
+        random: options.random,
         headerNames,
         servers,
         loadBalancer,
