Follow one feed in full and the others by version, in replies that slow links can carry

Cause: a long change (1,732 routes) is one reply of each control instance, which a link of 3.4 Mbit/s does not carry within the inactivity timeout of 2 s. Bytes on their way did not count as activity, so the entry dropped the connection and read the same reply again from the start, for ever. Each change also crossed to each entry five times. Change: replies are limited to 64 KiB and continue at a position; received bytes and completed partial writes count as activity; an entry reads values from the nearest instance and versions from the others, and fetches from them only what the nearest one has not delivered. A value is encoded once for all readers, and a reader no longer scans all values. Result: new feature feed (8 scenarios).

--- a/packages/coordination/src/peers/connection.ts
+++ b/packages/coordination/src/peers/connection.ts
@@ -10,13 +10,19 @@
 /** A heartbeat is sent when no other frame was sent for this long. */
 export const HEARTBEAT_INTERVAL_MS = 500;
 /**
- * Time after which a connection is dropped when no frame arrives or a pending write makes no progress. With 1,500 ms,
+ * Time after which a connection is dropped when no byte arrives or a pending write makes no progress. With 1,500 ms,
  * connections would be dropped during a full garbage collection.
  */
 export const INACTIVITY_TIMEOUT_MS = 2_000;
 /** Bytes that may be buffered for a slow receiver: two frames of maximum length and smaller ones around them. */
 export const MAXIMUM_OUTGOING_BYTES = 3 * MAXIMUM_FRAME_BYTES;
 
+/**
+ * Bytes that are written to the socket at once. A long frame is written in parts, because the completion of each write is
+ * the only sign that a slow receiver still reads.
+ */
+const WRITE_BYTES = 32 * 1024;
+
 /** Time within which the queued frames must have been sent when a connection is closed gracefully. */
 const GRACEFUL_CLOSE_TIMEOUT_MS = 1_000;
 
@@ -31,7 +37,7 @@
     readonly counters: Counters;
     /** A heartbeat is sent when no other frame was sent for this long. */
     readonly heartbeatMilliseconds: number;
-    /** Longest time without a received frame, or without progress of a pending write. */
+    /** Longest time without a received byte, or without progress of a pending write. */
     readonly inactivityTimeoutMilliseconds: number;
     /** Bytes that may be buffered for a slow receiver. */
     readonly maximumOutgoingBytes: number;
@@ -41,7 +47,7 @@
 export type Connection = {
     /** Aborts when the connection is lost. The abort reason is the error that caused it. */
     readonly lost: AbortSignal;
-    /** Monotonic time in milliseconds at which the last frame arrived. */
+    /** Monotonic time in milliseconds at which the last byte arrived. */
     readonly lastReceivedAt: number;
     /**
      * Queues one frame.
@@ -74,7 +80,11 @@
     let lastReceivedAt = clock.monotonicMilliseconds();
     let lastSentAt = lastReceivedAt;
     let lastProgressAt = lastReceivedAt;
-    let pendingWrites = 0;
+    /** Frames that have not been handed to the socket yet, the first of them perhaps in part. */
+    let outgoing: Buffer[] = [];
+    /** Bytes of `outgoing` and of the current write. */
+    let outgoingBytes = 0;
+    let isWriting = false;
     let isEnded = false;
 
     const markLost = (reason: Error) => {
@@ -91,6 +101,7 @@
     const end = (reason: Error) => {
         markLost(reason);
         isEnded = true;
+        outgoing.splice(0).forEach(bytes => socket.write(bytes));
         socket.setTimeout(GRACEFUL_CLOSE_TIMEOUT_MS, () => socket.destroy());
         socket.destroySoon();
     };
@@ -98,23 +109,40 @@
     socket.on("error", markLost);
     socket.on("close", () => markLost(new Error("The connection was closed.")));
 
+    const takeWrite = (): Buffer => {
+        const queued = outgoing.length === 1 ? outgoing[0] as Buffer : Buffer.concat(outgoing);
+        outgoing = queued.length > WRITE_BYTES ? [queued.subarray(WRITE_BYTES)] : [];
+        return queued.subarray(0, WRITE_BYTES);
+    };
+    const writeNext = () => {
+        if (isWriting || outgoing.length === 0) {
+            return;
+        }
+        isWriting = true;
+        const bytes = takeWrite();
+        socket.write(bytes, () => {
+            isWriting = false;
+            outgoingBytes -= bytes.length;
+            lastProgressAt = clock.monotonicMilliseconds();
+            writeNext();
+        });
+    };
+
     const send = (frame: PeerFrame) => {
         lostController.signal.throwIfAborted();
         const encoded = encodeFrame(frame);
-        if (socket.writableLength + encoded.length > options.maximumOutgoingBytes) {
+        if (outgoingBytes + encoded.length > options.maximumOutgoingBytes) {
             counters.increment("peers.outgoing_buffer_full");
             throw new OutgoingBufferFullError("The outgoing buffer is full.");
         }
         const now = clock.monotonicMilliseconds();
-        if (pendingWrites === 0) {
+        if (outgoingBytes === 0) {
             lastProgressAt = now;
         }
-        pendingWrites += 1;
         lastSentAt = now;
-        socket.write(encoded, () => {
-            pendingWrites -= 1;
-            lastProgressAt = clock.monotonicMilliseconds();
-        });
+        outgoing.push(encoded);
+        outgoingBytes += encoded.length;
+        writeNext();
         counters.increment("peers.bytes_sent", encoded.length);
     };
 
@@ -122,9 +150,9 @@
         try {
             for await (const chunk of socket as AsyncIterable<Buffer>) {
                 counters.increment("peers.bytes_received", chunk.length);
+                lastReceivedAt = clock.monotonicMilliseconds();
                 decoder.append(chunk);
                 for (let frame = decoder.next(); frame !== undefined; frame = decoder.next()) {
-                    lastReceivedAt = clock.monotonicMilliseconds();
                     if (frame.type !== FrameType.Heartbeat) {
                         yield frame;
                     }
@@ -146,7 +174,7 @@
         if (now - lastReceivedAt >= options.inactivityTimeoutMilliseconds) {
             return "received nothing";
         }
-        return pendingWrites > 0 && now - lastProgressAt >= options.inactivityTimeoutMilliseconds
+        return outgoingBytes > 0 && now - lastProgressAt >= options.inactivityTimeoutMilliseconds
             ? "sent nothing"
             : undefined;
     };
--- a/packages/hyssopfront/src/feed/change-feed.ts
+++ b/packages/hyssopfront/src/feed/change-feed.ts
@@ -2,50 +2,101 @@
  * Feed of the changes on a control instance, numbered in the order in which this process has seen them.
  *
  * Entries follow the feeds of all control instances and merge them by the versions in the values, so a feed needs
- * neither a history nor an order across instances.
+ * neither a history nor an order across instances. An entry reads the values from one instance and only the versions
+ * from the others, from which it fetches what the first one has not delivered.
  */
 import type { Clock } from "@hyssopfront/coordination";
+import { encode } from "cbor-x";
 import { z } from "zod";
 
+/**
+ * Size of the values of one reply, in bytes, above which the rest is left for the next read. A reply must pass the
+ * slowest link of an entry in far less time than a connection may be silent, next to the replies of other instances.
+ */
+const MAXIMUM_REPLY_BYTES = 64 * 1024;
+/** Time for which an encoded value is sent to further readers, in milliseconds, although its content depends on the time. */
+const ENCODED_VALUE_LIFETIME_MS = 100;
+/** Replaced changes that are kept in the order of changes before it is compacted, as a multiple of the current ones. */
+const COMPACTION_RATIO = 2;
+
 /** Request for the changes after a position. */
 export const feedReadRequestSchema = z.object({
     /** Feed that `afterPosition` refers to. If the identifier differs, the feed is read from the start. */
     feedId: z.string(),
     afterPosition: z.number().int().nonnegative(),
     waitMilliseconds: z.number().nonnegative().max(10_000),
+    /** True to get only the versions of the values that have one. */
+    versionsOnly: z.boolean().optional(),
 });
 
 export type FeedReadRequest = z.infer<typeof feedReadRequestSchema>;
 
+/** Request for the current values of keys. */
+export const feedValuesRequestSchema = z.object({ keys: z.array(z.string()) });
+
+/** Content of a key: its encoded value, or only its version. */
+const feedValueSchema = z.object({
+    key: z.string(),
+    value: z.instanceof<typeof Uint8Array<ArrayBufferLike>>(Uint8Array).optional(),
+    version: z.unknown().optional(),
+});
+
+export type FeedValue = z.infer<typeof feedValueSchema>;
+
 /** Changes up to a position. */
 export const feedBatchSchema = z.object({
     feedId: z.string(),
     position: z.number().int(),
-    /** True once the instance has all changes that were acknowledged before it started. */
+    /** True if the reader now has all changes that were acknowledged before the instance started. */
     isComplete: z.boolean(),
-    values: z.array(z.object({ key: z.string(), value: z.unknown() })),
+    values: z.array(feedValueSchema),
 });
 
 export type FeedBatch = z.infer<typeof feedBatchSchema>;
 
+/** Values of the first `keyCount` requested keys. Keys without a value are omitted. */
+export const feedValuesSchema = z.object({
+    keyCount: z.number().int().nonnegative(),
+    values: z.array(feedValueSchema),
+});
+
+export type FeedValues = z.infer<typeof feedValuesSchema>;
+
 /** Feed of one process. */
 export type ChangeFeed = {
     /**
-     * Sets the value of a key. The value is read for each batch, since it may depend on the time. Keys whose value is
+     * Sets the value of a key. The value is read when it is sent, since it may depend on the time. Keys whose value is
      * `undefined` are omitted.
+     *
+     * @param version Version of the value at this change. A reader that holds this version or a newer one does not need
+     * the value. Without it, the value is always sent.
      */
-    set(key: string, read: () => unknown): void;
+    set(key: string, read: () => unknown, version?: unknown): void;
     /** Marks the feed as containing everything that was acknowledged before the start of this process. */
     markComplete(): void;
     readonly isComplete: boolean;
-    /** Resolves with the changes after the position as soon as there are any, or after the requested wait. */
+    /**
+     * Resolves with the changes after the position as soon as there are any, or after the requested wait. A long reply
+     * is limited; the next read continues at its position.
+     */
     read(request: FeedReadRequest, signal: AbortSignal): Promise<FeedBatch>;
+    /** Returns the current values of the keys, as many as fit into one reply. */
+    readValues(keys: readonly string[]): FeedValues;
+};
+
+type Change = {
+    readonly position: number;
+    readonly read: () => unknown;
+    readonly version: unknown;
+    encoded: { readonly bytes: Uint8Array | undefined; readonly expiresAt: number } | undefined;
 };
 
 /** Creates an empty feed. `feedId` must be unique to this start of the process. */
 export function createChangeFeed(options: { readonly clock: Clock; readonly feedId: string }): ChangeFeed {
     const { clock, feedId } = options;
-    const values = new Map<string, { readonly position: number; readonly read: () => unknown }>();
+    const changes = new Map<string, Change>();
+    /** Keys in the order of their changes, with changes that were replaced since the last compaction. */
+    let order: { readonly key: string; readonly position: number }[] = [];
     const waitingReaders = new Set<() => void>();
     let position = 0;
     let isComplete = false;
@@ -70,17 +121,87 @@
             clock.sleep(milliseconds, wakeUp.signal).then(end, () => undefined);
         });
 
-    /** Keys that are set again move to the end of the map, so the newest values come last. */
-    const listChangesAfter = (after: number) =>
-        [...values].filter(([, change]) => change.position > after)
-            .map(([key, { read }]) => ({ key, value: read() }))
-            .filter(({ value }) => value !== undefined);
+    const isCurrent = (change: { readonly key: string; readonly position: number }) =>
+        changes.get(change.key)?.position === change.position;
+
+    const findFirstAfter = (after: number) => {
+        let low = 0;
+        let high = order.length;
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if ((order[middle]?.position ?? Infinity) <= after) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        return low;
+    };
+
+    const encodeChange = (change: Change): Uint8Array | undefined => {
+        const now = clock.monotonicMilliseconds();
+        if (change.encoded === undefined || now >= change.encoded.expiresAt) {
+            const value = change.read();
+            change.encoded = {
+                bytes: value === undefined ? undefined : encode(value),
+                expiresAt: now + ENCODED_VALUE_LIFETIME_MS,
+            };
+        }
+        return change.encoded.bytes;
+    };
+
+    const toFeedValue = (key: string, versionsOnly: boolean): FeedValue | undefined => {
+        const change = changes.get(key);
+        if (change === undefined) {
+            return undefined;
+        }
+        if (versionsOnly && change.version !== undefined) {
+            return { key, version: change.version };
+        }
+        const value = encodeChange(change);
+        return value === undefined ? undefined : { key, value };
+    };
+
+    /** Collects the values of keys until they fill a reply, and returns how many keys were read. */
+    const collect = (keys: Iterable<string>, versionsOnly: boolean): FeedValues => {
+        const values: FeedValue[] = [];
+        let bytes = 0;
+        let keyCount = 0;
+        for (const key of keys) {
+            if (bytes >= MAXIMUM_REPLY_BYTES) {
+                break;
+            }
+            keyCount += 1;
+            const feedValue = toFeedValue(key, versionsOnly);
+            if (feedValue !== undefined) {
+                values.push(feedValue);
+                bytes += key.length + (feedValue.value?.length ?? 0);
+            }
+        }
+        return { keyCount, values };
+    };
+
+    const listChangesAfter = (after: number, versionsOnly: boolean): FeedBatch => {
+        const pending = order.slice(findFirstAfter(after)).filter(isCurrent);
+        const { keyCount, values } = collect(pending.map(({ key }) => key), versionsOnly);
+        const hasMore = keyCount < pending.length;
+        return {
+            feedId,
+            position: hasMore ? pending[keyCount - 1]?.position ?? after : position,
+            isComplete: isComplete && !hasMore,
+            values,
+        };
+    };
 
     return {
-        set: (key, read) => {
+        set: (key, read, version) => {
             position += 1;
-            values.delete(key);
-            values.set(key, { position, read });
+            changes.set(key, { position, read, version, encoded: undefined });
+            order.push({ key, position });
+            if (order.length > changes.size * COMPACTION_RATIO) {
+                order = order.filter(isCurrent);
+            }
             wakeReaders();
         },
         markComplete: () => {
@@ -98,8 +219,9 @@
             if (after >= position && request.waitMilliseconds > 0) {
                 await waitForChange(request.waitMilliseconds, signal);
             }
-            return { feedId, position, isComplete, values: listChangesAfter(after) };
+            return listChangesAfter(after, request.versionsOnly ?? false);
         },
+        readValues: keys => collect(keys, false),
     };
 }
 
--- /dev/null
+++ b/packages/hyssopfront/src/feed/feed.feature
@@ -0,0 +1,47 @@
+Feature: Entries follow the change feeds of the control instances
+
+  # Guards against a long change that an entry reads from the start forever, because its link carries less within the
+  # inactivity timeout of a connection.
+  Scenario: A change that takes longer than the inactivity timeout reaches an entry without a lost connection
+    Given an entry that follows 3 control instances through a link of 3.4 Mbit/s
+    When each control instance gets the same 3000 items of 500 bytes
+    Then the entry has 3000 items within 15 s
+    And no connection to a control instance was lost
+    And the link carried at most 2.4 MB
+
+  # Guards against a change that crosses to each entry once for each control instance.
+  Scenario: Only the nearest control instance sends values
+    Given an entry that follows 3 control instances through a link of 100 Mbit/s
+    When each control instance gets the same 200 items of 500 bytes
+    Then the entry has 200 items within 5 s
+    And after 3 s, no value was fetched from another instance
+
+  # Guards against an entry that stays behind with a control instance that no longer gets changes.
+  Scenario: A value that the nearest control instance does not deliver is fetched from another one
+    Given an entry that follows 3 control instances through a link of 100 Mbit/s
+    When each control instance but the nearest one gets the same 10 items of 500 bytes
+    Then the entry has 10 items within 2 s
+
+  Scenario: Values are read from another control instance when the nearest one is lost
+    Given an entry that follows 3 control instances through a link of 100 Mbit/s
+    When the nearest control instance stops
+    And each control instance gets the same 200 items of 500 bytes
+    Then the entry has 200 items within 4 s
+
+  # Guards against a restarted control instance that a reader would not read again.
+  Scenario: The feed of a restarted control instance is read from the start
+    Given a feed with 300 values of 1000 bytes
+    When a reader of another feed reads from position 5000
+    Then it gets the first values
+
+  # Guards against changes that are lost between the parts of a long reply.
+  Scenario Outline: A reader that reads in parts has all values in the end
+    Given a feed with 300 values of 1000 bytes
+    When values change at random while a reader reads in parts, with seed <seed>
+    Then the reader has the last value of each key, and each part was at most 70000 bytes long
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/packages/hyssopfront/src/gateway-control/messages.ts
+++ b/packages/hyssopfront/src/gateway-control/messages.ts
@@ -21,6 +21,8 @@
     PullRecords = "registry.pull",
     /** Long poll of an entry for changes. While it is open, the entry counts as connected. */
     ReadFeed = "feed.read",
+    /** Reads the current values of keys of the feed. */
+    ReadFeedValues = "feed.values",
     /** Reports a change in the state of an entry without waiting for its next poll. */
     ReportEntry = "entry.report",
 }
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -21,10 +21,15 @@
 } from "../entry-selection/connected-entries.js";
 import { createHomeRegionIndex } from "../entry-selection/home-regions.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
-import { createChangeFeed } from "../feed/change-feed.js";
+import { createChangeFeed, feedValuesRequestSchema } from "../feed/change-feed.js";
 import { createFormation, JOIN_REQUEST_KIND } from "../formation/formation.js";
 import { createMemberPeers, memberName } from "../formation/member-peers.js";
-import { type BackendAnnouncement, type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+import {
+    type BackendAnnouncement,
+    type BackendRecord,
+    BackendServerState,
+    getRecordVersion,
+} from "../registry/backend-record.js";
 import { createRegistry } from "../registry/registry.js";
 import { allocateSlowStartQuotas } from "../slow-start/slow-start-quotas.js";
 import { createCatalogGroup } from "./catalog-group.js";
@@ -146,9 +151,10 @@
         clock,
         heartbeatMilliseconds: options.heartbeatMilliseconds,
         onChange: (id, read) => {
-            const { service, state, sequence, startedAt } = read() ?? {};
-            log(EventLevel.Info, "backend server changed", { id, service, state, sequence, startedAt });
-            feed.set(FeedKey.BackendServer + id, read);
+            const record = read();
+            const { service, state, sequence, startedAt } = record ?? {};
+            log(EventLevel.Info, "backend server changed", { server: id, service, state, sequence, startedAt });
+            feed.set(FeedKey.BackendServer + id, read, record === undefined ? undefined : getRecordVersion(record));
         },
     });
     const others = () => members.filter(name => name !== self);
@@ -179,7 +185,7 @@
             items.forEach(item => {
                 const { kind, name, version } = item;
                 log(EventLevel.Info, "item changed", { kind, name, version, isDropped: item.value === undefined });
-                feed.set(FeedKey.Item + itemKey(kind, name), () => ({ ...item, source: undefined }));
+                feed.set(FeedKey.Item + itemKey(kind, name), () => ({ ...item, source: undefined }), version);
             });
         },
         onStatus: status => {
@@ -252,6 +258,8 @@
             },
             [ControlRequestKind.PullRecords]: async () => ({ records: registry.records() }),
             [ControlRequestKind.ReadFeed]: (_from, payload, requestSignal) => readFeed(payload, requestSignal),
+            [ControlRequestKind.ReadFeedValues]: async (_from, payload) =>
+                feed.readValues(feedValuesRequestSchema.parse(payload).keys),
             [ControlRequestKind.ReportEntry]: async (_from, payload) => {
                 entries.update(entryReportSchema.parse(payload));
                 return {};
--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -2,7 +2,12 @@
  * Backend servers as seen by an entry: their announced records, the connections to them, their health and their load.
  */
 import type { Clock } from "@hyssopfront/coordination";
-import { type BackendRecord, BackendServerState, isNewerRecord } from "../registry/backend-record.js";
+import {
+    type BackendRecord,
+    BackendServerState,
+    isNewerRecord,
+    type RecordVersion,
+} from "../registry/backend-record.js";
 import { type BackendConnectionPool, createBackendConnectionPool } from "../routing/backend-connection-pool.js";
 import { createRequestCounter, type RequestCounter } from "../slow-start/request-counter.js";
 import { createHealth, type Health } from "./load-balancing/health.js";
@@ -40,6 +45,8 @@
 
 /** All backend servers known to an entry. */
 export type BackendServers = {
+    /** Returns true if a record of the backend server with this version is newer than the known one. */
+    isNewer(id: string, version: RecordVersion): boolean;
     /** @returns True if the record is newer than the known one and was applied. */
     merge(record: BackendRecord): boolean;
     /** Backend servers of a service that may get requests, in no particular order. */
@@ -117,11 +124,13 @@
             && other.startedAt > record.startedAt
         );
 
+    const findRecord = (id: string) => servers.get(id)?.record ?? unusableRecords.get(id);
+
     return {
+        isNewer: (id, version) => isNewerRecord(version, findRecord(id)),
         merge: record => {
             const existing = servers.get(record.id);
-            const lastRecord = existing?.record ?? unusableRecords.get(record.id);
-            if (!isNewerRecord(record, lastRecord) || (existing === undefined && isSuperseded(record))) {
+            if (!isNewerRecord(record, findRecord(record.id)) || (existing === undefined && isSuperseded(record))) {
                 return false;
             }
             const isSameIncarnation = existing?.record.startedAt === record.startedAt
--- a/packages/hyssopfront/src/gateway/catalog-view.ts
+++ b/packages/hyssopfront/src/gateway/catalog-view.ts
@@ -19,6 +19,8 @@
 
 /** The current catalog of an entry. */
 export type CatalogView = {
+    /** Version of the known item with this key, or -Infinity if there is none. */
+    getVersion(key: string): number;
     /** @returns True if the item is newer than the known one and was applied. */
     merge(item: Item): boolean;
     /** Route of the host with the longest prefix of the path; undefined if none matches. */
@@ -53,10 +55,13 @@
     };
     const getValue = (kind: ItemKind, name: string) => items.get(itemKey(kind, name))?.value;
 
+    const getVersion = (key: string) => items.get(key)?.version ?? -Infinity;
+
     return {
+        getVersion,
         merge: item => {
             const key = itemKey(item.kind, item.name);
-            if (item.version <= (items.get(key)?.version ?? -Infinity)) {
+            if (item.version <= getVersion(key)) {
                 return false;
             }
             items.set(key, item);
--- a/packages/hyssopfront/src/gateway/feed-state.ts
+++ b/packages/hyssopfront/src/gateway/feed-state.ts
@@ -1,17 +1,21 @@
 /**
  * State that an entry has received through the change feeds of the control instances.
  */
+import type { Counters } from "@hyssopfront/coordination";
+import { decode } from "cbor-x";
 import { type Item, ItemKind, type Route } from "../catalog/items.js";
-import { EventLevel, type EventLog } from "../event-log/event-log.js";
-import type { FeedBatch } from "../feed/change-feed.js";
+import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
+import type { FeedBatch, FeedValue } from "../feed/change-feed.js";
 import { FeedKey } from "../gateway-control/messages.js";
-import { type BackendRecord, backendRecordSchema } from "../registry/backend-record.js";
+import { type BackendRecord, backendRecordSchema, recordVersionSchema } from "../registry/backend-record.js";
 import type { BackendServers } from "./backend-servers.js";
 import type { CatalogView } from "./catalog-view.js";
 
 /** The state received from all control instances. */
 export type FeedState = {
-    /** Applies a batch of changes of one control instance. */
+    /** Returns true for a value that was sent as a version only and is newer than the known one. */
+    isMissing(feedValue: FeedValue): boolean;
+    /** Applies a batch of changes of one control instance. A value that cannot be applied is logged and left out. */
     apply(batch: FeedBatch, controlInstance: string): void;
     /** True once a control instance has sent all changes that were acknowledged before that instance started. */
     readonly isComplete: boolean;
@@ -29,10 +33,11 @@
 /** Creates the state, which applies what it receives to the catalog and the backend servers. */
 export function createFeedState(options: {
     readonly log: EventLog;
+    readonly counters: Counters;
     readonly catalog: CatalogView;
     readonly servers: BackendServers;
 }): FeedState {
-    const { log, catalog, servers } = options;
+    const { log, counters, catalog, servers } = options;
     const entryCounts = new Map<string, number>();
     const members = new Map<string, readonly string[]>();
     let isComplete = false;
@@ -72,9 +77,37 @@
         }
     };
 
+    /** One value that cannot be applied must not keep the others, nor the feed, from being followed. */
+    const applyValue = ({ key, value }: FeedValue, controlInstance: string) => {
+        try {
+            if (value !== undefined) {
+                mergeValue(key, decode(value), controlInstance);
+            }
+        }
+        catch (error) {
+            counters.increment("feeds.invalid_values");
+            log(EventLevel.Error, "value of the feed not applied", {
+                key,
+                control: controlInstance,
+                ...errorFields(error),
+            });
+        }
+    };
+
     return {
+        isMissing: ({ key, value, version }) => {
+            if (value !== undefined) {
+                return false;
+            }
+            if (key.startsWith(FeedKey.Item)) {
+                return Number(version) > catalog.getVersion(key.slice(FeedKey.Item.length));
+            }
+            const recordVersion = recordVersionSchema.safeParse(version);
+            return !recordVersion.success
+                || servers.isNewer(key.slice(FeedKey.BackendServer.length), recordVersion.data);
+        },
         apply: (batch, controlInstance) => {
-            batch.values.forEach(({ key, value }) => mergeValue(key, value, controlInstance));
+            batch.values.forEach(feedValue => applyValue(feedValue, controlInstance));
             if (batch.isComplete && !isComplete) {
                 isComplete = true;
                 log(EventLevel.Info, "catalog complete", { control: controlInstance, items: catalog.items().length });
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -101,7 +101,7 @@
         getRegion: options.getRegion,
         onConnect: () => metrics.increment("gateway.connections_opened"),
     });
-    const feedState = createFeedState({ log, catalog, servers });
+    const feedState = createFeedState({ log, counters: metrics, catalog, servers });
     const { entryCount } = feedState;
     let isStopping = false;
     let openRequests = 0;
@@ -135,6 +135,8 @@
         log,
         self: identity,
         entry: createEntryReport,
+        getDistance: createInstanceDistance(options),
+        isMissing: feedState.isMissing,
         onBatch: (batch, controlInstance) => {
             const wasComplete = feedState.isComplete;
             feedState.apply(batch, controlInstance);
@@ -260,6 +262,24 @@
     };
 }
 
+/**
+ * Creates a function that rates the distance of a control instance: first by place, then by a hash that differs between
+ * entries, so that each instance serves about the same number of entries.
+ */
+function createInstanceDistance(
+    { availabilityZone, getRegion, hash, name }: Pick<
+        GatewayOptions,
+        "availabilityZone" | "getRegion" | "hash" | "name"
+    >,
+): (instance: PeerIdentity) => number {
+    const HASH_RANGE = 2 ** 32;
+    return instance => {
+        const zoneDistance = instance.availabilityZone === availabilityZone ? 0 : 1;
+        const regionDistance = getRegion(instance.availabilityZone) === getRegion(availabilityZone) ? 0 : 1;
+        return zoneDistance + regionDistance + hash(`${name} ${instance.name}`) / HASH_RANGE;
+    };
+}
+
 function listen(server: Server, address: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
         server.once("error", reject);
--- a/packages/hyssopfront/src/registry/backend-record.ts
+++ b/packages/hyssopfront/src/registry/backend-record.ts
@@ -45,9 +45,20 @@
 /** Sequence number of a departure. It is higher than any other, because no announcement follows a departure. */
 export const FINAL_SEQUENCE = Number.MAX_SAFE_INTEGER;
 
-const hasLeft = (record: BackendRecord) => record.state === BackendServerState.Left;
+const hasLeft = (record: RecordVersion) => record.state === BackendServerState.Left;
 /** At the same sequence number, a record that was marked as lost after a timeout follows the announced one. */
-const rankAtSequence = (record: BackendRecord) => record.state === BackendServerState.Lost ? 1 : 0;
+const rankAtSequence = (record: RecordVersion) => record.state === BackendServerState.Lost ? 1 : 0;
+
+/** The part of a record that determines its order among the records of one backend server. */
+export const recordVersionSchema = backendAnnouncementSchema.pick({ startedAt: true, state: true, sequence: true });
+
+export type RecordVersion = z.infer<typeof recordVersionSchema>;
+
+export const getRecordVersion = ({ startedAt, state, sequence }: BackendRecord): RecordVersion => ({
+    startedAt,
+    state,
+    sequence,
+});
 
 /**
  * Determines whether a record supersedes another one of the same backend server.
@@ -56,7 +67,7 @@
  * @param current Record that is held, or `undefined` when there is none.
  * @returns True when `next` is newer, or marks the backend server as lost after the announcement in `current`.
  */
-export function isNewerRecord(next: BackendRecord, current: BackendRecord | undefined): boolean {
+export function isNewerRecord(next: RecordVersion, current: RecordVersion | undefined): boolean {
     if (current === undefined || next.startedAt !== current.startedAt) {
         return current === undefined || next.startedAt > current.startedAt;
     }
