--- a/packages/hyssopfront/src/gateway-control/messages.ts
+++ b/packages/hyssopfront/src/gateway-control/messages.ts
@@ -4,7 +4,7 @@
 import { z } from "zod";
 import { entryReportSchema } from "../entry-selection/connected-entries.js";
 import { feedReadRequestSchema } from "../feed/change-feed.js";
-import { backendRecordSchema } from "../registry/backend-record.js";
+import { type BackendRecord, backendRecordSchema } from "../registry/backend-record.js";
 
 /** Identifies this product in the handshake, which rejects other systems on the same addresses. */
 export const GATEWAY_CLUSTER_ID = "hyssopfront-gateway";
@@ -27,8 +27,25 @@
     ReportEntry = "entry.report",
 }
 
-/** Records of backend servers. */
-export const recordsSchema = z.object({ records: z.array(backendRecordSchema) });
+const recordsSchema = z.object({ records: z.array(z.unknown()) });
+
+/**
+ * Parses replicated records of backend servers one by one, so that an invalid one does not keep the others from being
+ * merged.
+ *
+ * @param onInvalid Called for each record that is left out.
+ * @throws ZodError if the message has no list of records.
+ */
+export function parseRecords(payload: unknown, onInvalid: (error: Error) => void): readonly BackendRecord[] {
+    return recordsSchema.parse(payload).records.flatMap(value => {
+        const { success, data, error } = backendRecordSchema.safeParse(value);
+        if (!success) {
+            onInvalid(error);
+        }
+        return success ? [data] : [];
+    });
+}
+
 /** Encoded catalog command. */
 export const proposeRequestSchema = z.object({ command: z.instanceof(Uint8Array) });
 /** Result of a catalog command. Without `error`, the command was accepted. */
--- a/packages/hyssopfront/src/gateway-control/record-replication.ts
+++ b/packages/hyssopfront/src/gateway-control/record-replication.ts
@@ -6,7 +6,7 @@
 import type { MemberPeers } from "../formation/member-peers.js";
 import type { BackendRecord } from "../registry/backend-record.js";
 import type { Registry } from "../registry/registry.js";
-import { ControlRequestKind, recordsSchema } from "./messages.js";
+import { ControlRequestKind, parseRecords } from "./messages.js";
 
 /** Interval of batches of heartbeats, in milliseconds. Far below the timeout of a backend server. */
 const BATCH_INTERVAL_MS = 1_000;
@@ -23,6 +23,8 @@
      * @returns Resolves with true once a majority of the control instances holds the record, otherwise with false.
      */
     replicate(record: BackendRecord): Promise<boolean>;
+    /** Merges records that another instance has sent. Invalid ones are logged and left out. */
+    mergeRecords(payload: unknown): void;
     /** Merges all records of an instance into the registry, after the connection to it was established. */
     pullRecords(name: string): Promise<void>;
     /** Sends the batches until the signal aborts. */
@@ -82,12 +84,18 @@
         }
     };
 
+    const mergeRecords = (payload: unknown) => {
+        const onInvalid = (error: Error) => log(EventLevel.Error, "replicated record is invalid", errorFields(error));
+        parseRecords(payload, onInvalid).forEach(registry.merge);
+    };
+
     return {
+        mergeRecords,
         enqueue: record => void batch.set(record.id, record),
         replicate: replicateToMajority,
         pullRecords: async name => {
             const reply = await peers.call(name, ControlRequestKind.PullRecords, {}, REPLICATION_DEADLINE_MS);
-            recordsSchema.parse(reply).records.forEach(registry.merge);
+            mergeRecords(reply);
         },
         run: async signal => {
             while (!signal.aborted) {
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -40,7 +40,6 @@
     GATEWAY_CLUSTER_ID,
     proposeRequestSchema,
     readFeedRequestSchema,
-    recordsSchema,
 } from "./messages.js";
 import { createRecordReplication } from "./record-replication.js";
 
@@ -253,7 +252,7 @@
             [ControlRequestKind.Propose]: async (_from, payload) =>
                 catalog.proposeLocally(proposeRequestSchema.parse(payload).command),
             [ControlRequestKind.ReplicateRecords]: async (_from, payload) => {
-                recordsSchema.parse(payload).records.forEach(registry.merge);
+                replication.mergeRecords(payload);
                 return {};
             },
             [ControlRequestKind.PullRecords]: async () => ({ records: registry.records() }),
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -236,6 +236,22 @@
     Then each caller gets 200
     And stoc-1 got at most 0 requests
 
+  # Guards against an entry that stops following a feed because one value in it cannot be applied.
+  Scenario Outline: A value of the feed that cannot be applied does not keep the others from being applied
+    When the feed has a backend server with <fault>
+    And stoc-1 of stoc responds
+    When a caller sends a request to stoc
+    Then the caller gets 200 with the body and signature of the backend server
+    And the log names the value that was not applied
+
+    Examples:
+      | fault                |
+      | port 99999           |
+      | port 1e300           |
+      | slots as text        |
+      | fields nested deeply |
+      | bytes that are no record |
+
   # Guards against requests to an availability zone that operators have evacuated.
   Scenario: A backend server in an evacuated zone gets no requests
     Given stoc-1 of stoc responds
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -454,6 +454,36 @@
     publishRecord({ ...(fakeServers.get(id) as FakeBackendServer).record, startedAt: 2 });
     await waitForFeed();
 });
+const INVALID_RECORDS: Readonly<Record<string, object>> = {
+    "port 99999": { port: 99_999 },
+    "port 1e300": { port: 1e300 },
+    "slots as text": { slots: "many" },
+    "fields nested deeply": {
+        service: Array.from({ length: 1_000 }).reduce<unknown>(inner => [inner], "deep"),
+    },
+    "bytes that are no record": { id: Buffer.alloc(10), state: 7 },
+};
+When(/^the feed has a backend server with (.+)$/, (fault: string) => {
+    const record = {
+        id: "odd",
+        service: "stoc",
+        address: HOST,
+        port: 80,
+        availabilityZone: "z1",
+        slots: 4,
+        state: BackendServerState.Ready,
+        coldMilliseconds: 0,
+        startedAt: 1,
+        sequence: 1,
+        coldPortions: {},
+        ...INVALID_RECORDS[fault],
+    };
+    feed.set(`${FeedKey.BackendServer}odd`, () => record);
+});
+Then("the log names the value that was not applied", () => {
+    const failure = events.find(({ event }) => event === "value of the feed not applied");
+    assert.equal(failure?.key, `${FeedKey.BackendServer}odd`);
+});
 When("{int} ms pass", (milliseconds: number) => clock.sleep(milliseconds));
 const setEvacuation = async (isActive: boolean, version: number) => {
     const kind = ItemKind.Evacuation;
--- a/packages/hyssopfront/src/gateway/load-balancing/service-split.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/service-split.ts
@@ -9,8 +9,10 @@
  * @returns A function that returns the service of the next request.
  */
 export function createServiceSplit(services: readonly WeightedService[]): () => string {
-    const total = services.reduce((sum, { weight }) => sum + weight, 0);
-    const credits = services.map(({ service, weight }) => ({ service, weight, credit: 0 }));
+    // Relative to the largest weight, because the sum of very large weights is infinite.
+    const largest = Math.max(...services.map(({ weight }) => weight));
+    const credits = services.map(({ service, weight }) => ({ service, weight: weight / largest, credit: 0 }));
+    const total = credits.reduce((sum, { weight }) => sum + weight, 0);
     return () => {
         credits.forEach(candidate => {
             candidate.credit += candidate.weight;
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -41,6 +41,8 @@
  * have connected.
  */
 const UNUSED_CONNECTION_TIMEOUT_MS = 200;
+/** Longest time of a timer of Node.js, in milliseconds; a longer one would fire at once. */
+const MAXIMUM_TIMER_MS = 2 ** 31 - 1;
 /** Share of the connections of a backend server that all entries use together; the rest is left to other clients. */
 const CONNECTION_SHARE = 0.8;
 
@@ -229,8 +231,8 @@
     server.on("checkExpectation", handleRequest);
     const applyLimits = () => {
         const { idleTimeoutMilliseconds, headerTimeoutMilliseconds } = catalog.limits();
-        server.keepAliveTimeout = idleTimeoutMilliseconds;
-        server.headersTimeout = headerTimeoutMilliseconds;
+        server.keepAliveTimeout = Math.min(MAXIMUM_TIMER_MS, idleTimeoutMilliseconds);
+        server.headersTimeout = Math.min(MAXIMUM_TIMER_MS, headerTimeoutMilliseconds);
     };
     await listen(server, options.address, options.callerPort);
     feeds.follow(controlNames());
--- a/packages/hyssopfront/src/routing/timers.ts
+++ b/packages/hyssopfront/src/routing/timers.ts
@@ -3,6 +3,9 @@
  */
 import type { Clock } from "@hyssopfront/coordination";
 
+/** Longest wait on the clock, in milliseconds: timers of Node.js fire at once beyond 24.8 days. */
+const MAXIMUM_SLEEP_MS = 86_400_000;
+
 /** One-shot timers on a shared clock. */
 export type Timers = {
     /**
@@ -64,7 +67,7 @@
             return;
         }
         wakeTimes.push(dueAt);
-        clock.sleep(Math.max(0, dueAt - clock.monotonicMilliseconds()), closing.signal)
+        clock.sleep(Math.min(MAXIMUM_SLEEP_MS, Math.max(0, dueAt - clock.monotonicMilliseconds())), closing.signal)
             // Responses that arrived while the process was busy are read first. Otherwise a delay of the process itself
             // would count as a slow response.
             .then(() => setImmediate(() => onWake(dueAt)), () => undefined);
--- a/packages/hyssopfront/src/slow-start/slow-start-quotas.ts
+++ b/packages/hyssopfront/src/slow-start/slow-start-quotas.ts
@@ -15,8 +15,12 @@
 
 const sumQuotas = (quotas: SlowStartQuotas) => Object.values(quotas).reduce((sum, quota) => sum + quota, 0);
 
+/** Largest request rate that is divided, in requests per second; a service without a limit has an infinite one. */
+const MAXIMUM_REQUESTS_PER_SECOND = 1_000_000;
+
 /** Rounds down to whole requests, at least one, because a backend server without requests never warms up. */
-const toWholeRequests = (requestsPerSecond: number) => Math.max(1, Math.floor(requestsPerSecond));
+const toWholeRequests = (requestsPerSecond: number) =>
+    Math.max(1, Math.floor(Math.min(MAXIMUM_REQUESTS_PER_SECOND, requestsPerSecond)));
 
 /**
  * Divides the request rate among as many entries as can have at least one request per second. The current quotas are
--- a/packages/hyssopfront/src/slow-start/slow-start.feature
+++ b/packages/hyssopfront/src/slow-start/slow-start.feature
@@ -26,6 +26,8 @@
       | 3.3   | 12      | 1,1,1  |
       | 17    | 3       | 6,6,5  |
       | 0.4   | 2       | 1      |
+      | 1E300 | 2       | 500000,500000 |
+      | 1E400 | 1       | 1000000 |
       | 3.3   | 0       | none   |
 
   # Guards against exceeding the limit when a quota moves and both entries use it within the same second.
