Update the indexes of servers and routes by difference, and allocate quotas for cold servers only

Change: lists, generations and rankings per service, routes by host and prefix, items by key, no allocation for a server that is not cold, and candidates are checked in order only until one fits. Result: features of gateway, control, registry, catalog and slow-start pass (124).

--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -26,6 +26,8 @@
     apply(index: number, command: CatalogCommand): CommandResult;
     /** Returns all items, deleted ones included. */
     items(): readonly Item[];
+    /** Returns the item with this kind and name, which may be deleted, or undefined if there is none. */
+    find(kind: ItemKind, name: string): Item | undefined;
     /** Encodes all items. */
     takeSnapshot(): Uint8Array;
     /** Replaces all items by those of a snapshot. */
@@ -95,6 +97,7 @@
                 ? applyChange(command.items)
                 : applyEvacuation(index, command.availabilityZone, command.isActive),
         items: () => [...items.values()],
+        find: (kind, name) => items.get(itemKey(kind, name)),
         takeSnapshot: () => encode([...items.values()]),
         restoreSnapshot: payload => {
             const restored = decode(payload) as Item[];
--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -18,12 +18,13 @@
 } from "@hyssopfront/coordination";
 import {
     type CatalogCommand,
+    type CatalogState,
     type CommandResult,
     createCatalogState,
     decodeCommand,
     encodeCommand,
 } from "../catalog/catalog-state.js";
-import type { Item } from "../catalog/items.js";
+import type { Item, ItemKind } from "../catalog/items.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import type { MemberPeers } from "../formation/member-peers.js";
 import { loadOrStoreInitialVoters } from "./initial-voters.js";
@@ -51,6 +52,8 @@
     replica(): Replica | undefined;
     /** Returns all items as applied on this instance, deleted ones included. Empty while the storage is not open. */
     items(): readonly Item[];
+    /** Returns one item as applied on this instance, or undefined if it is unknown or the storage is not open. */
+    find(kind: ItemKind, name: string): Item | undefined;
     /** Handles a consensus message of another instance. Rejects with NotLeaderError while the storage is not open. */
     handleConsensus(from: string, payload: unknown): Promise<ConsensusReply>;
     /** Proposes an encoded command on this instance. Rejects with NotLeaderError when it is not the leader. */
@@ -88,7 +91,7 @@
     readonly onStatus: (status: ReplicaStatus) => void;
 };
 
-type OpenGroup = { readonly replica: Replica; readonly storage: LogStorage; readonly items: () => readonly Item[] };
+type OpenGroup = { readonly replica: Replica; readonly storage: LogStorage; readonly state: CatalogState };
 
 /** Creates the group without starting it. */
 export function createCatalogGroup(options: CatalogGroupOptions): CatalogGroup {
@@ -141,7 +144,7 @@
             },
         });
         replica.start();
-        return { replica, storage, items: state.items };
+        return { replica, storage, state };
     };
 
     const close = async ({ replica, storage }: OpenGroup) => {
@@ -210,7 +213,8 @@
 
     return {
         replica: () => open?.replica,
-        items: () => open?.items() ?? [],
+        items: () => open?.state.items() ?? [],
+        find: (kind, name) => open?.state.find(kind, name),
         handleConsensus: (from, payload) => requireReplica().handle(from, parseConsensusRequest(payload)),
         proposeLocally: proposeOnReplica,
         submit: (command, deadlineMilliseconds) => {
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -211,10 +211,14 @@
             }),
     });
 
-    const allocateQuotas = ({ id, service, availabilityZone }: BackendAnnouncement) => {
-        const value = catalog.items().find(({ kind, name }) => kind === ItemKind.Service && name === service)?.value;
+    const allocateQuotas = ({ id, service, availabilityZone, coldMilliseconds }: BackendAnnouncement) => {
+        const current = registry.findSlowStartQuotas(id);
+        if (coldMilliseconds === 0) {
+            return current;
+        }
+        const value = catalog.find(ItemKind.Service, service)?.value;
         return allocateSlowStartQuotas({
-            current: registry.findSlowStartQuotas(id),
+            current,
             requestsPerSecond: value?.kind === ItemKind.Service ? value.policy.coldRequestsPerSecond : 0,
             candidates: rankSlowStartEntries(entries.list(), options.getRegion(availabilityZone), options.random),
         });
--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -43,6 +43,13 @@
     load: ReportedLoad | undefined;
 };
 
+/** Backend servers of one service that may get requests. `list` is made from `members` when it is needed. */
+type UsableServers = {
+    readonly members: Set<BackendServer>;
+    generation: number;
+    list: readonly BackendServer[] | undefined;
+};
+
 /** All backend servers known to an entry. */
 export type BackendServers = {
     /** Returns true if a record of the backend server with this version is newer than the known one. */
@@ -58,8 +65,8 @@
      * @returns False if it was no longer used.
      */
     stopUsing(server: BackendServer): boolean;
-    /** Changes whenever the usable backend servers of any service change. */
-    readonly generation: number;
+    /** Changes whenever the usable backend servers of the service change. */
+    getGeneration(service: string): number;
     listAll(): readonly BackendServer[];
     close(): void;
 };
@@ -84,16 +91,19 @@
      * Last records of backend servers that are no longer usable, so that an older announcement does not restore them.
      */
     const unusableRecords = new Map<string, BackendRecord>();
-    let usableByService = new Map<string, readonly BackendServer[]>();
-    let generation = 0;
+    const usableByService = new Map<string, UsableServers>();
 
-    const rebuildIndex = () => {
-        generation += 1;
-        usableByService = new Map();
-        [...servers.values()].filter(isUsable).forEach(server => {
-            const { service } = server.record;
-            usableByService.set(service, [...usableByService.get(service) ?? [], server]);
-        });
+    const updateUsable = (service: string, server: BackendServer) => {
+        const usable = usableByService.get(service) ?? { members: new Set(), generation: 0, list: undefined };
+        if (isUsable(server) && server.record.service === service && servers.get(server.record.id) === server) {
+            usable.members.add(server);
+        }
+        else {
+            usable.members.delete(server);
+        }
+        usable.generation += 1;
+        usable.list = undefined;
+        usableByService.set(service, usable);
     };
     const incarnationKey = ({ id, startedAt }: BackendRecord) => `${id}@${startedAt}`;
     const isUsable = ({ record }: BackendServer) =>
@@ -138,7 +148,10 @@
                 && existing.record.availabilityZone === record.availabilityZone;
             if (existing !== undefined && !isSameIncarnation) {
                 existing.connections.close();
+                servers.delete(record.id);
+                updateUsable(existing.record.service, existing);
             }
+            const previousService = existing?.record.service;
             const server = existing !== undefined && isSameIncarnation ? existing : createServer(record);
             server.record = record;
             server.coldUntil = clock.monotonicMilliseconds() + record.coldMilliseconds;
@@ -151,10 +164,20 @@
                 servers.delete(record.id);
                 unusableRecords.set(record.id, record);
             }
-            rebuildIndex();
+            if (previousService !== undefined && previousService !== record.service) {
+                updateUsable(previousService, server);
+            }
+            updateUsable(record.service, server);
             return true;
         },
-        listUsable: service => usableByService.get(service) ?? [],
+        listUsable: service => {
+            const usable = usableByService.get(service);
+            if (usable === undefined) {
+                return [];
+            }
+            usable.list ??= [...usable.members];
+            return usable.list;
+        },
         stopUsing: server => {
             const key = incarnationKey(server.record);
             if (withdrawnIncarnations.has(key)) {
@@ -162,12 +185,10 @@
             }
             withdrawnIncarnations.add(key);
             server.connections.close();
-            rebuildIndex();
+            updateUsable(server.record.service, server);
             return true;
         },
-        get generation() {
-            return generation;
-        },
+        getGeneration: service => usableByService.get(service)?.generation ?? 0,
         listAll: () => [...servers.values()],
         close: () => servers.forEach(server => server.connections.close()),
     };
--- a/packages/hyssopfront/src/gateway/catalog-view.ts
+++ b/packages/hyssopfront/src/gateway/catalog-view.ts
@@ -36,22 +36,28 @@
 /** Creates an empty catalog with the default limits. */
 export function createCatalogView(): CatalogView {
     const items = new Map<string, Item>();
-    /** Routes by host, sorted by descending length of their prefix. */
-    let routesByHost = new Map<string, readonly NamedRoute[]>();
-    let isIndexCurrent = true;
+    /** Routes by host and prefix. */
+    const routesByHost = new Map<string, Map<string, readonly NamedRoute[]>>();
     let limits = DEFAULT_LIMITS;
     let evacuationGeneration = 0;
 
-    const indexRoutes = () => {
-        const routes = [...items.values()].flatMap(({ name, version, value }) =>
-            value?.kind === ItemKind.Route ? [{ name, version, route: value.route }] : []
-        );
-        routes.sort((a, b) => b.route.pathPrefix.length - a.route.pathPrefix.length);
-        routesByHost = new Map();
-        routes.forEach(namedRoute => {
-            routesByHost.set(namedRoute.route.host, [...routesByHost.get(namedRoute.route.host) ?? [], namedRoute]);
-        });
-        isIndexCurrent = true;
+    const removeRoute = (name: string, { host, pathPrefix }: Route) => {
+        const routes = routesByHost.get(host);
+        const others = routes?.get(pathPrefix)?.filter(namedRoute => namedRoute.name !== name) ?? [];
+        if (others.length > 0) {
+            routes?.set(pathPrefix, others);
+            return;
+        }
+        routes?.delete(pathPrefix);
+        if (routes?.size === 0) {
+            routesByHost.delete(host);
+        }
+    };
+    const addRoute = (namedRoute: NamedRoute) => {
+        const { host, pathPrefix } = namedRoute.route;
+        const routes = routesByHost.get(host) ?? new Map<string, readonly NamedRoute[]>();
+        routes.set(pathPrefix, [...routes.get(pathPrefix) ?? [], namedRoute]);
+        routesByHost.set(host, routes);
     };
     const getValue = (kind: ItemKind, name: string) => items.get(itemKey(kind, name))?.value;
 
@@ -64,8 +70,14 @@
             if (item.version <= getVersion(key)) {
                 return false;
             }
+            const previous = items.get(key)?.value;
             items.set(key, item);
-            isIndexCurrent &&= item.kind !== ItemKind.Route;
+            if (previous?.kind === ItemKind.Route) {
+                removeRoute(item.name, previous.route);
+            }
+            if (item.value?.kind === ItemKind.Route) {
+                addRoute({ name: item.name, version: item.version, route: item.value.route });
+            }
             evacuationGeneration += item.kind === ItemKind.Evacuation ? 1 : 0;
             if (item.kind === ItemKind.Limits) {
                 limits = item.value?.kind === ItemKind.Limits ? item.value.limits : DEFAULT_LIMITS;
@@ -73,10 +85,22 @@
             return true;
         },
         findRoute: (host, path) => {
-            if (!isIndexCurrent) {
-                indexRoutes();
+            const routes = routesByHost.get(host);
+            // Prefixes end with a slash, so each one is the path up to and including one of its slashes.
+            for (
+                let end = path.lastIndexOf("/");
+                routes !== undefined && end >= 0;
+                end = path.lastIndexOf("/", end - 1)
+            ) {
+                const [first] = routes.get(path.slice(0, end + 1)) ?? [];
+                if (first !== undefined) {
+                    return first;
+                }
+                if (end === 0) {
+                    break;
+                }
             }
-            return routesByHost.get(host)?.find(({ route }) => path.startsWith(route.pathPrefix));
+            return undefined;
         },
         getPolicy: service => {
             const value = getValue(ItemKind.Service, service);
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
@@ -73,6 +73,15 @@
     pauseMilliseconds(selectionRequest: SelectionRequest): number;
 };
 
+/** Rankings for the keys of one service, valid until its backend servers or the evacuations change. */
+type ServiceRankings = {
+    readonly generation: string;
+    readonly candidates: readonly BackendServer[];
+    readonly getWeight: (server: BackendServer) => number;
+    /** Backend servers in order of preference. */
+    readonly byKey: Map<string, readonly BackendServer[]>;
+};
+
 /** Dependencies and identity of a load balancer. */
 export type LoadBalancerOptions = {
     readonly clock: Clock;
@@ -110,11 +119,7 @@
 /** Creates a load balancer with an empty cache of rankings. */
 export function createLoadBalancer(options: LoadBalancerOptions): LoadBalancer {
     const { clock, servers, hash } = options;
-    /**
-     * Backend servers by service and key, in order of preference; valid until the servers or the evacuations change.
-     */
-    let rankings = new Map<string, readonly BackendServer[]>();
-    let rankingsGeneration = "";
+    const rankingsByService = new Map<string, ServiceRankings>();
 
     const computeWeights = (candidates: readonly BackendServer[]) => {
         const slots = new Map<string, number>();
@@ -124,27 +129,29 @@
             (shares.get(region) ?? 0) * record.slots / (slots.get(region) ?? 1);
     };
 
-    const rank = (service: string, key: string) => {
-        const generation = `${servers.generation}/${options.evacuationGeneration()}`;
-        if (rankingsGeneration !== generation || rankings.size >= MAXIMUM_CACHED_RANKINGS) {
-            rankings = new Map();
-            rankingsGeneration = generation;
-        }
-        const cacheKey = `${service} ${key}`;
-        const cached = rankings.get(cacheKey);
-        if (cached !== undefined) {
-            return cached;
+    const getRankings = (service: string): ServiceRankings => {
+        const generation = `${servers.getGeneration(service)}/${options.evacuationGeneration()}`;
+        const current = rankingsByService.get(service);
+        if (current?.generation === generation && current.byKey.size < MAXIMUM_CACHED_RANKINGS) {
+            return current;
         }
         // Evacuated zones are left out before the weights are computed, so that the requests that no longer fit in the
         // region go to regions with spare capacity.
         const candidates = servers.listUsable(service)
             .filter(server => !options.isEvacuated(server.record.availabilityZone));
-        const ranking = rankByWeight(
-            candidates,
-            computeWeights(candidates),
-            server => hash(`${key} ${formatAddress(server)}`),
-        );
-        rankings.set(cacheKey, ranking);
+        const rankings = { generation, candidates, getWeight: computeWeights(candidates), byKey: new Map() };
+        rankingsByService.set(service, rankings);
+        return rankings;
+    };
+
+    const rank = (service: string, key: string) => {
+        const { candidates, getWeight, byKey } = getRankings(service);
+        const cached = byKey.get(key);
+        if (cached !== undefined) {
+            return cached;
+        }
+        const ranking = rankByWeight(candidates, getWeight, server => hash(`${key} ${formatAddress(server)}`));
+        byKey.set(key, ranking);
         return ranking;
     };
 
@@ -152,11 +159,15 @@
         clock.monotonicMilliseconds() >= coldUntil
         || coldRequests.count() < (record.coldPortions[options.entryName] ?? 0);
 
-    const rankAllowed = ({ service, affinityKey, homeRegions, excluded }: SelectionRequest) =>
-        rank(service, affinityKey).filter(server =>
-            !excluded.has(server.record.id)
-            && (homeRegions.length === 0 || homeRegions.includes(server.region))
-        );
+    const rankAllowed = ({ service, affinityKey, homeRegions, excluded }: SelectionRequest) => {
+        const ranking = rank(service, affinityKey);
+        return excluded.size === 0 && homeRegions.length === 0 ?
+            ranking :
+            ranking.filter(server =>
+                !excluded.has(server.record.id)
+                && (homeRegions.length === 0 || homeRegions.includes(server.region))
+            );
+    };
     const isHealthy = (server: BackendServer) => {
         const health = server.health.state();
         return health === HealthState.Healthy || (health === HealthState.Trial && server.inFlight === 0);
@@ -170,15 +181,15 @@
             if (allowed.length === 0) {
                 return SelectionFailure.NoBackendServer;
             }
-            const eligible = allowed.filter(server =>
-                isHealthy(server) && server.inFlight < connectionLimit && isWithinSlowStartQuota(server)
-            );
+            const isEligible = (server: BackendServer) =>
+                isHealthy(server) && server.inFlight < connectionLimit && isWithinSlowStartQuota(server);
             const now = clock.monotonicMilliseconds();
-            const [preferred, ...others] = eligible;
+            const preferred = allowed.find(isEligible);
             if (preferred !== undefined && estimateLoad(preferred, now) < preferred.record.slots * (1 + QUEUE_RATIO)) {
                 return preferred;
             }
-            return others.find(server => estimateLoad(server, now) < server.record.slots * IDLE_LOAD_RATIO)
+            const isIdle = (server: BackendServer) => estimateLoad(server, now) < server.record.slots * IDLE_LOAD_RATIO;
+            return allowed.find(server => server !== preferred && isIdle(server) && isEligible(server))
                 ?? SelectionFailure.NoCapacity;
         },
         summarizeCapacity: selectionRequest => {
--- a/packages/hyssopfront/src/http/parse-json.ts
+++ b/packages/hyssopfront/src/http/parse-json.ts
@@ -28,7 +28,7 @@
         if (level.some(value => typeof value === "number" && !Number.isFinite(value))) {
             throw new JsonError("A number is too large.");
         }
-        const collections = level.filter(value => typeof value === "object" && value !== null) as object[];
+        const collections = level.filter(value => value instanceof Object);
         if (collections.length > 0 && depth >= MAXIMUM_JSON_NESTING) {
             throw new JsonError(`Collections are nested more than ${MAXIMUM_JSON_NESTING} deep.`);
         }
