--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -85,6 +85,7 @@
 }): BackendServers {
     const { clock, random } = options;
     const servers = new Map<string, BackendServer>();
+    const serversByAddress = new Map<string, Set<BackendServer>>();
     /** Incarnations that must not be used again, whatever their records say. */
     const withdrawnIncarnations = new Set<string>();
     /**
@@ -105,6 +106,7 @@
         usable.list = undefined;
         usableByService.set(service, usable);
     };
+    const formatAddress = ({ address, port }: BackendRecord) => `${address}:${port}`;
     const incarnationKey = ({ id, startedAt }: BackendRecord) => `${id}@${startedAt}`;
     const isUsable = ({ record }: BackendServer) =>
         record.state === BackendServerState.Ready && !withdrawnIncarnations.has(incarnationKey(record));
@@ -129,11 +131,25 @@
 
     /** Only the latest server process can listen at an address; a late announcement may still name an older one. */
     const isSuperseded = (record: BackendRecord) =>
-        [...servers.values()].some(({ record: other }) =>
-            other.id !== record.id && other.address === record.address && other.port === record.port
-            && other.startedAt > record.startedAt
+        [...serversByAddress.get(formatAddress(record)) ?? []].some(({ record: other }) =>
+            other.id !== record.id && other.startedAt > record.startedAt
         );
 
+    const addServer = (server: BackendServer) => {
+        const address = formatAddress(server.record);
+        servers.set(server.record.id, server);
+        serversByAddress.set(address, (serversByAddress.get(address) ?? new Set()).add(server));
+    };
+    const removeServer = (server: BackendServer) => {
+        const address = formatAddress(server.record);
+        const others = serversByAddress.get(address);
+        servers.delete(server.record.id);
+        others?.delete(server);
+        if (others?.size === 0) {
+            serversByAddress.delete(address);
+        }
+    };
+
     const findRecord = (id: string) => servers.get(id)?.record ?? unusableRecords.get(id);
 
     return {
@@ -148,7 +164,7 @@
                 && existing.record.availabilityZone === record.availabilityZone;
             if (existing !== undefined && !isSameIncarnation) {
                 existing.connections.close();
-                servers.delete(record.id);
+                removeServer(existing);
                 updateUsable(existing.record.service, existing);
             }
             const previousService = existing?.record.service;
@@ -156,12 +172,12 @@
             server.record = record;
             server.coldUntil = clock.monotonicMilliseconds() + record.coldMilliseconds;
             if (isUsable(server)) {
-                servers.set(record.id, server);
+                addServer(server);
                 unusableRecords.delete(record.id);
             }
             else {
                 server.connections.close();
-                servers.delete(record.id);
+                removeServer(server);
                 unusableRecords.set(record.id, record);
             }
             if (previousService !== undefined && previousService !== record.service) {
