--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -138,6 +138,23 @@
     When a caller sends a request to orders
     Then the caller gets 502
 
+  # Guards against a caller that gets the response to the request of another one.
+  Scenario Outline: A second copy of a response on a reused connection reaches no caller
+    Given orders-1 of orders <writes>
+    When a caller sends a request to orders 6 times
+    Then each caller gets 200 with its own id, or 502
+    And at least 1 caller gets 200
+
+    Examples:
+      | writes                                              |
+      | writes each response again before the next one      |
+      | writes each response again behind the next one      |
+      | writes each response twice in one segment           |
+      | writes each response again after 20 ms              |
+      | writes half of a second copy with each response     |
+      | writes each response again without its id           |
+      | writes each response again with an informational one |
+
   Scenario Outline: A status that promises that a request has not run is not forwarded without proof
     Given orders-1 of orders <responds>
     When a caller sends a request to orders
@@ -329,6 +346,14 @@
     When a caller sends a request to stoc
     Then the caller gets 200 with the body and signature of the backend server
 
+  # Guards against requests on kept connections that are cut off by a planned stop.
+  Scenario: A stop under load cuts off no request that reached a backend server
+    Given an entry that may take 2000 ms to stop
+    And stoc-1 of stoc responds after 20 ms
+    And stoc-2 of stoc responds after 20 ms
+    When 60 callers keep sending requests to stoc on kept connections while the entry stops
+    Then at least 200 of their requests got a response, and none that reached a backend server got none
+
   # Guards against a process that exits before it has read the first request of an accepted connection.
   Scenario: A stop waits for the request of a recently accepted connection
     Given an entry that may take 2000 ms to stop
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -2,7 +2,7 @@
 import { createSystemClock, listenForPeers, type PeerListener, routePeerRequests } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
-import { type IncomingHttpHeaders, request as sendRequest } from "node:http";
+import { Agent, type IncomingHttpHeaders, request as sendRequest } from "node:http";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
 import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
@@ -55,6 +55,9 @@
 let disconnectingCallers: DisconnectingCallers;
 let stoppedAt: number;
 let respondedAt: number;
+let unanswered: string[];
+let keptResponses: number;
+let hasStopped: boolean;
 let rawResponse: string;
 let isRawConnectionClosed: boolean;
 let events: { readonly event: string; readonly [field: string]: unknown }[];
@@ -97,12 +100,15 @@
 /** Numbers of the requests that arrived on each connection. */
 const requestCounts = new WeakMap<Socket, number>();
 const requestsOf = (socket: Socket) => requestCounts.get(socket) ?? 0;
+const createResponse = (id: string) => head("200 OK", id, [SIGNATURE_HEADER, LENGTH_HEADER]) + BODY;
+const earlierResponses = new WeakMap<Socket, string>();
 const earlierRejections = new WeakMap<Socket, string>();
 const CHUNKED_HEADER = "transfer-encoding: chunked";
 const CHUNK = `400\r\n${"x".repeat(1_024)}\r\n`;
 const BEHAVIORS: Readonly<Record<string, Behavior>> = {
     "responds": respond,
     "responds and is cold": respond,
+    "responds after 20 ms": delayed(20, respond),
     "responds after 100 ms": delayed(100, respond),
     "responds after 400 ms": delayed(400, respond),
     "responds with the header bad name": respondWithHeader("bad name: x"),
@@ -130,6 +136,35 @@
         socket.write((earlierRejections.get(socket) ?? "") + rejection);
         earlierRejections.set(socket, rejection);
     },
+    "writes each response again before the next one": (socket, id) => {
+        const response = createResponse(id);
+        socket.write((earlierResponses.get(socket) ?? "") + response);
+        earlierResponses.set(socket, response);
+    },
+    "writes each response again behind the next one": (socket, id) => {
+        const response = createResponse(id);
+        socket.write(response + (earlierResponses.get(socket) ?? ""));
+        earlierResponses.set(socket, response);
+    },
+    "writes each response twice in one segment": (socket, id) => void socket.write(createResponse(id).repeat(2)),
+    "writes each response again after 20 ms": (socket, id) => {
+        socket.write(createResponse(id));
+        setTimeout(() => socket.write(createResponse(id)), 20);
+    },
+    "writes half of a second copy with each response": (socket, id) => {
+        const response = createResponse(id);
+        socket.write((earlierResponses.get(socket) ?? "") + response + response.slice(0, response.length / 2));
+        earlierResponses.set(socket, response.slice(response.length / 2));
+    },
+    "writes each response again without its id": (socket, id) => {
+        const copy = head("200 OK", "", [SIGNATURE_HEADER, LENGTH_HEADER]).replace(/[^\n]*: \r\n/, "") + BODY;
+        socket.write((requestsOf(socket) === 1 ? "" : copy) + createResponse(id));
+    },
+    "writes each response again with an informational one": (socket, id) => {
+        const response = createResponse(id);
+        socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${earlierResponses.get(socket) ?? ""}${response}`);
+        earlierResponses.set(socket, response);
+    },
     "responds 503 and may have run it": (socket, id) =>
         void socket.write(head("503 Service Unavailable", id, ["content-length: 0"])),
     "responds 429 and may have run it": (socket, id) =>
@@ -543,6 +578,79 @@
 Then(/^the pause "(.*)" is (\d+|no) ms$/, (value: string, milliseconds: string) => {
     assert.equal(parsePauseMilliseconds(value), milliseconds === "no" ? undefined : Number(milliseconds));
 });
+Then("each caller gets 200 with its own id, or 502", async () => {
+    const firstNumber = lastRequestNumber - responses.length + 1;
+    (await Promise.all(responses)).forEach(({ status, headers, body }, index) => {
+        if (status === 502) {
+            assert.equal(headers[NAMES.responseSignature], undefined);
+            return;
+        }
+        assert.deepEqual([status, headers[NAMES.requestId], body], [200, `q${firstNumber + index}`, BODY]);
+    });
+});
+Then("at least {int} caller(s) get(s) {int}", async (count: number, status: number) => {
+    const matching = (await Promise.all(responses)).filter(response => response.status === status);
+    assert.ok(matching.length >= count, `${matching.length} callers got it.`);
+});
+/** Sends requests one after the other on one connection until the entry closes it. */
+const keepSending = async (service: string, caller: number) => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    for (let number = 1; !hasStopped; number += 1) {
+        const id = `kept-${caller}-${number}`;
+        const isClosed = await new Promise<boolean>(resolve => {
+            const request = sendRequest({
+                host: HOST,
+                port: callerPort,
+                path: `/${service}/1`,
+                agent,
+                headers: {
+                    host: "gateway.example",
+                    [NAMES.requestId]: id,
+                    [NAMES.deadline]: String(DEADLINE_MS),
+                    cookie: `${NAMES.affinityCookie}=${id}`,
+                },
+            }, response => {
+                response.resume();
+                response.on("error", () => unanswered.push(id));
+                response.on("end", () => {
+                    keptResponses += 1;
+                    resolve(response.headers.connection === "close");
+                });
+            });
+            request.on("error", () => {
+                unanswered.push(id);
+                resolve(true);
+            });
+            request.end();
+        });
+        if (isClosed) {
+            break;
+        }
+    }
+    agent.destroy();
+};
+When(
+    "{int} callers keep sending requests to {word} on kept connections while the entry stops",
+    async (count: number, service: string) => {
+        unanswered = [];
+        keptResponses = 0;
+        hasStopped = false;
+        const callers = Array.from({ length: count }, (_, caller) => keepSending(service, caller));
+        await clock.sleep(300);
+        stopPromise = gateway.stop();
+        await stopPromise;
+        hasStopped = true;
+        await Promise.all(callers);
+    },
+);
+Then(
+    "at least {int} of their requests got a response, and none that reached a backend server got none",
+    (count: number) => {
+        const reached = [...fakeServers.values()].flatMap(({ requests }) => requests).join("\n");
+        assert.deepEqual(unanswered.filter(id => reached.includes(`: ${id}\r`)), []);
+        assert.ok(keptResponses >= count, `${keptResponses} got a response.`);
+    },
+);
 Then("{word} got at least {int} requests", (id: string, count: number) => {
     assert.ok(countRequests(id) >= count, `It got ${countRequests(id)} requests.`);
 });
