--- a/packages/hyssopfront/src/event-log/event-log.feature
+++ b/packages/hyssopfront/src/event-log/event-log.feature
@@ -2,8 +2,8 @@
 
   # Guards against a failed request whose cause on-call engineers cannot find by its id.
   Scenario: The timeline of a request is assembled from the logs of several instances
-    Given logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 was ejected there
-    Then the timeline of q7 is "backend server ejected, attempt ended, request ended"
+    Given logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 drained and was ejected there
+    Then the timeline of q7 is "backend server changed, backend server ejected, attempt ended, request ended"
     And the timeline of q8 is ""
 
   # Guards against a process that blocks on a slow reader of its log.
--- a/packages/hyssopfront/src/event-log/event-log.steps.ts
+++ b/packages/hyssopfront/src/event-log/event-log.steps.ts
@@ -8,8 +8,8 @@
 
 setDefaultTimeout(30_000);
 
-const line = (time: number, instance: string, event: string, fields: object) =>
-    `12.5 ${instance} ${JSON.stringify({ level: "info", time, instance, role: "entry", ...fields, event })}`;
+const line = (time: number, instance: string, event: string, fields: object, role = "entry") =>
+    `12.5 ${instance} ${JSON.stringify({ level: "info", time, instance, role, ...fields, event })}`;
 
 const readAll = async (stream: Readable) => {
     const chunks: Buffer[] = [];
@@ -24,11 +24,13 @@
 let droppedLines: number;
 let writeReport: { readonly milliseconds: number; readonly dropped: number; readonly memoryBytes: number };
 
-Given("logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 was ejected there", () => {
+Given("logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 drained and was ejected there", () => {
     lines = [
         line(3_000, "entry-1", "request ended", { request: "q7", status: 502 }),
         line(2_900, "entry-1", "attempt ended", { request: "q7", server: "stoc-1" }),
         line(2_000, "entry-1", "backend server ejected", { server: "stoc-1" }),
+        line(1_900, "core-1", "backend server changed", { server: "stoc-1", state: "draining" }, "control"),
+        line(1_950, "core-1", "backend server changed", { server: "stoc-2", state: "draining" }, "control"),
         line(2_000, "entry-2", "backend server ejected", { server: "stoc-1" }),
         line(2_100, "entry-1", "backend server ejected", { server: "stoc-2" }),
         line(3_500, "entry-1", "backend server ejected", { server: "stoc-1" }),
--- a/packages/hyssopfront/src/event-log/request-timeline.ts
+++ b/packages/hyssopfront/src/event-log/request-timeline.ts
@@ -6,12 +6,16 @@
 export type LoggedEvent = {
     readonly time: number;
     readonly instance: string;
+    /** Role of the process, such as `entry`; empty if the line has none. */
+    readonly role: string;
     readonly event: string;
     readonly fields: Readonly<Record<string, unknown>>;
 };
 
 /** How long before the first line of a request the changes of its backend servers are included, in milliseconds. */
 const CONTEXT_MS = 5_000;
+/** Role of control instances, whose changes of backend servers concern all entries. */
+const CONTROL_ROLE = "control";
 /** Fields that every log line has. */
 const COMMON_FIELDS: ReadonlySet<string> = new Set(["time", "instance", "event", "level", "role"]);
 
@@ -27,10 +31,10 @@
     }
     try {
         const all = JSON.parse(line.slice(start)) as Record<string, unknown>;
-        const { time, instance, event } = all;
+        const { time, instance, role, event } = all;
         const fields = Object.fromEntries(Object.entries(all).filter(([name]) => !COMMON_FIELDS.has(name)));
         return typeof time === "number" && typeof event === "string"
-            ? { time, instance: String(instance ?? ""), event, fields }
+            ? { time, instance: String(instance ?? ""), role: String(role ?? ""), event, fields }
             : undefined;
     }
     catch {
@@ -40,7 +44,8 @@
 }
 
 /**
- * Collects the events of a request, and the preceding state changes of its backend servers on the same entries.
+ * Collects the events of a request, and the preceding state changes of its backend servers: what the same entries knew of
+ * them, and what control instances published.
  *
  * @param lines Lines of any number of logs, in any order.
  * @param requestId Identifier of the request.
@@ -56,8 +61,9 @@
     const servers = new Set<unknown>(
         requestEvents.map(({ fields }) => fields.server).filter(server => server !== undefined),
     );
-    const contextEvents = events.filter(({ time, instance, fields }) =>
-        fields.request === undefined && instances.has(instance) && servers.has(fields.server)
+    const contextEvents = events.filter(({ time, instance, role, fields }) =>
+        fields.request === undefined && servers.has(fields.server)
+        && (instances.has(instance) || role === CONTROL_ROLE)
         && time >= from && time <= until
     );
     return [...requestEvents, ...contextEvents].sort((a, b) => a.time - b.time);
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -206,7 +206,7 @@
         seeds,
         voterCount: options.voterCount,
         onChange: (change, error) =>
-            log(EventLevel.Info, "membership change", {
+            log(error === undefined ? EventLevel.Info : EventLevel.Warning, "membership change", {
                 kind: change.kind,
                 member: change.name,
                 ...error === undefined ? {} : errorFields(error),
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -32,6 +32,14 @@
  */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
+/** Outcomes of attempts that are logged as failures, whose lines are not rate limited. */
+const FAILED_OUTCOMES = new Set([
+    DispatchOutcome.NotSent,
+    DispatchOutcome.Rejected,
+    DispatchOutcome.Replaced,
+    DispatchOutcome.Truncated,
+]);
+
 /** What forwarding needs from its entry. */
 export type ForwardDependencies = {
     readonly clock: Clock;
@@ -106,8 +114,8 @@
 }
 
 /**
- * Counts and logs a request if its backend server is in slow start. Each one is logged, because the limit on these
- * requests covers all entries together.
+ * Counts and logs a request if its backend server is in slow start. They are logged one by one, up to the limit on lines
+ * about requests, because their rate is limited for all entries together.
  */
 function recordColdRequest(
     { clock, counters, log }: ForwardDependencies,
@@ -279,7 +287,8 @@
                 outcome === DispatchOutcome.NotSent;
             const elapsed = clock.monotonicMilliseconds() - sentAt;
             if (outcome !== DispatchOutcome.Completed || isFailedRun || elapsed > route.latencyObjectiveMilliseconds) {
-                log(EventLevel.Info, "attempt ended", {
+                const hasFailed = isFailedRun || FAILED_OUTCOMES.has(outcome);
+                log(hasFailed ? EventLevel.Warning : EventLevel.Info, "attempt ended", {
                     request: request.id,
                     service,
                     server: server.record.id,
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -210,7 +210,10 @@
             openRequests -= 1;
         });
         serveRequest(dependencies, message, response).catch((error: unknown) => {
-            log(EventLevel.Error, "request failed with an internal error", errorFields(error));
+            log(EventLevel.Error, "request failed with an internal error", {
+                request: String(message.headers[headerNames.requestId] ?? ""),
+                ...errorFields(error),
+            });
             response.destroy();
         });
     });
