--- a/packages/hyssopfront/src/feed/follow-feeds.ts
+++ b/packages/hyssopfront/src/feed/follow-feeds.ts
@@ -21,8 +21,10 @@
 const FAILURE_PAUSE_MS = 100;
 /** Deadline of a report, in milliseconds. */
 const REPORT_DEADLINE_MS = 1_000;
-/** Pause between two reads of versions, in milliseconds, which collects changes into one reply. */
-const VERSIONS_PAUSE_MS = 400;
+/** Pause between two reads of values, in milliseconds, which collects changes into one reply. */
+const VALUES_PAUSE_MS = 50;
+/** Pause between two reads of versions, in milliseconds. */
+const VERSIONS_PAUSE_MS = 800;
 /** Time for the nearest instance to deliver values whose versions are known, in milliseconds. */
 const DELIVERY_GRACE_MS = 500;
 /** Longest wait for the nearest instance while it still delivers, as a multiple of `DELIVERY_GRACE_MS`. */
@@ -122,9 +124,7 @@
         const batch = decodeBatch(reply);
         const fetched = versionsOnly ? await fetchValues(feed, await waitForDelivery(feed, batch.values)) : [];
         options.onBatch({ ...batch, values: [...batch.values, ...fetched] }, feed.name);
-        if (versionsOnly) {
-            await clock.sleep(VERSIONS_PAUSE_MS, feed.stopping.signal);
-        }
+        await clock.sleep(versionsOnly ? VERSIONS_PAUSE_MS : VALUES_PAUSE_MS, feed.stopping.signal);
         return { feedId: batch.feedId, afterPosition: batch.position };
     };
 
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -214,7 +214,7 @@
     assert.ok(isDone(), "The condition was not met in time.");
 };
 /** Waits until the changes of the feed have reached the entry. */
-const waitForFeed = () => clock.sleep(60);
+const waitForFeed = () => clock.sleep(120);
 
 const routeTo = (service: string, isIdempotent: boolean): Route => ({
     host: "gateway.example",
