--- a/packages/bench/src/scenarios/entry-faults/entry-faults.steps.ts
+++ b/packages/bench/src/scenarios/entry-faults/entry-faults.steps.ts
@@ -42,7 +42,18 @@
             }, entry),
     );
     longResponses = Promise.all(sent).finally(() => caller.close());
-    await waitUntil("all long requests to run", () => servers.reduce((sum, { running }) => sum + running, 0) === 3);
+    const ended: string[] = [];
+    sent.forEach((response, index) =>
+        void response.then(
+            result => ended.push(`long-${index} with ${JSON.stringify(result).slice(0, 300)}`),
+            (error: unknown) => ended.push(`long-${index} with ${String(error)}`),
+        )
+    );
+    const countRunning = () => servers.reduce((sum, { running }) => sum + running, 0);
+    await waitUntil("all long requests to run", () => countRunning() === 3).catch((error: unknown) => {
+        const endedText = ended.length === 0 ? "none ended" : ended.join("; ");
+        throw new Error(`${countRunning()} of 3 long requests are running; ${endedText}.`, { cause: error });
+    });
 });
 
 When("{word} is stopped gracefully", async (name: string) => {
