Take writes to a peer from the front of the queue, and look up routes by the lengths of their prefixes

Found when reading the diff: joining the queue for each write copies a long frame again and again, a lost connection kept writing, and a path of thousands of slashes was looked up once for each slash (new scenario).

--- a/packages/coordination/src/peers/connection.ts
+++ b/packages/coordination/src/peers/connection.ts
@@ -81,7 +81,7 @@
     let lastSentAt = lastReceivedAt;
     let lastProgressAt = lastReceivedAt;
     /** Frames that have not been handed to the socket yet, the first of them perhaps in part. */
-    let outgoing: Buffer[] = [];
+    const outgoing: Buffer[] = [];
     /** Bytes of `outgoing` and of the current write. */
     let outgoingBytes = 0;
     let isWriting = false;
@@ -109,13 +109,22 @@
     socket.on("error", markLost);
     socket.on("close", () => markLost(new Error("The connection was closed.")));
 
+    /** Takes a part of the first frame if it is long, otherwise as many frames as fit into one write. */
     const takeWrite = (): Buffer => {
-        const queued = outgoing.length === 1 ? outgoing[0] as Buffer : Buffer.concat(outgoing);
-        outgoing = queued.length > WRITE_BYTES ? [queued.subarray(WRITE_BYTES)] : [];
-        return queued.subarray(0, WRITE_BYTES);
+        const [first] = outgoing;
+        if (first !== undefined && first.length > WRITE_BYTES) {
+            outgoing[0] = first.subarray(WRITE_BYTES);
+            return first.subarray(0, WRITE_BYTES);
+        }
+        let bytes = 0;
+        const beyond = outgoing.findIndex(frame => {
+            bytes += frame.length;
+            return bytes > WRITE_BYTES;
+        });
+        return Buffer.concat(outgoing.splice(0, beyond < 0 ? outgoing.length : beyond));
     };
     const writeNext = () => {
-        if (isWriting || outgoing.length === 0) {
+        if (isWriting || outgoing.length === 0 || lostController.signal.aborted) {
             return;
         }
         isWriting = true;
--- a/packages/hyssopfront/src/gateway/catalog-view.ts
+++ b/packages/hyssopfront/src/gateway/catalog-view.ts
@@ -33,30 +33,43 @@
     items(): readonly Item[];
 };
 
+/** Routes of one host by prefix, and the lengths of the prefixes, longest first, which are listed when they are needed. */
+type HostRoutes = {
+    readonly byPrefix: Map<string, readonly NamedRoute[]>;
+    prefixLengths: readonly number[] | undefined;
+};
+
+/** Lists the different lengths of texts, longest first. */
+const listLengths = (texts: readonly string[]) => [...new Set(texts.map(({ length }) => length))].sort((a, b) => b - a);
+
 /** Creates an empty catalog with the default limits. */
 export function createCatalogView(): CatalogView {
     const items = new Map<string, Item>();
-    /** Routes by host and prefix. */
-    const routesByHost = new Map<string, Map<string, readonly NamedRoute[]>>();
+    const routesByHost = new Map<string, HostRoutes>();
     let limits = DEFAULT_LIMITS;
     let evacuationGeneration = 0;
 
     const removeRoute = (name: string, { host, pathPrefix }: Route) => {
         const routes = routesByHost.get(host);
-        const others = routes?.get(pathPrefix)?.filter(namedRoute => namedRoute.name !== name) ?? [];
+        const others = routes?.byPrefix.get(pathPrefix)?.filter(namedRoute => namedRoute.name !== name) ?? [];
+        if (routes === undefined) {
+            return;
+        }
         if (others.length > 0) {
-            routes?.set(pathPrefix, others);
+            routes.byPrefix.set(pathPrefix, others);
             return;
         }
-        routes?.delete(pathPrefix);
-        if (routes?.size === 0) {
+        routes.byPrefix.delete(pathPrefix);
+        routes.prefixLengths = undefined;
+        if (routes.byPrefix.size === 0) {
             routesByHost.delete(host);
         }
     };
     const addRoute = (namedRoute: NamedRoute) => {
         const { host, pathPrefix } = namedRoute.route;
-        const routes = routesByHost.get(host) ?? new Map<string, readonly NamedRoute[]>();
-        routes.set(pathPrefix, [...routes.get(pathPrefix) ?? [], namedRoute]);
+        const routes = routesByHost.get(host) ?? { byPrefix: new Map(), prefixLengths: undefined };
+        routes.byPrefix.set(pathPrefix, [...routes.byPrefix.get(pathPrefix) ?? [], namedRoute]);
+        routes.prefixLengths = undefined;
         routesByHost.set(host, routes);
     };
     const getValue = (kind: ItemKind, name: string) => items.get(itemKey(kind, name))?.value;
@@ -86,21 +99,12 @@
         },
         findRoute: (host, path) => {
             const routes = routesByHost.get(host);
-            // Prefixes end with a slash, so each one is the path up to and including one of its slashes.
-            for (
-                let end = path.lastIndexOf("/");
-                routes !== undefined && end >= 0;
-                end = path.lastIndexOf("/", end - 1)
-            ) {
-                const [first] = routes.get(path.slice(0, end + 1)) ?? [];
-                if (first !== undefined) {
-                    return first;
-                }
-                if (end === 0) {
-                    break;
-                }
+            if (routes === undefined) {
+                return undefined;
             }
-            return undefined;
+            routes.prefixLengths ??= listLengths([...routes.byPrefix.keys()]);
+            return routes.prefixLengths.map(length => routes.byPrefix.get(path.slice(0, length))?.[0])
+                .find(namedRoute => namedRoute !== undefined);
         },
         getPolicy: service => {
             const value = getValue(ItemKind.Service, service);
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -19,7 +19,7 @@
 /** Share of the remaining time that a rejected caller should wait before it retries; callers honor up to a third. */
 const RETRY_AFTER_SHARE = 0.15;
 const MAXIMUM_RETRY_AFTER_MS = 400;
-/** Time over which callers return after a pause of all backend servers, in milliseconds, so that they do not all return at once. */
+/** Time over which callers return after a pause of all backend servers, in milliseconds, so that they come one by one. */
 const PAUSE_END_SPREAD_MS = 500;
 /** Maximum wait for the first request for an object, as a multiple of the latency objective of the route. */
 const FIRST_REQUEST_WAIT_RATIO = 2;
--- a/packages/hyssopfront/src/gateway/load-balancing/state-index.feature
+++ b/packages/hyssopfront/src/gateway/load-balancing/state-index.feature
@@ -31,3 +31,9 @@
     Given 5000 routes of one host
     When 20000 paths are looked up
     Then the lookups took at most 500 ms of CPU time
+
+  # Guards against a path that blocks the event loop.
+  Scenario: Finding a route for a path of many slashes takes little CPU time
+    Given 5000 routes of one host
+    When 100 paths of 16000 slashes are looked up
+    Then the lookups took at most 100 ms of CPU time
--- a/packages/hyssopfront/src/gateway/load-balancing/state-index.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/state-index.steps.ts
@@ -143,6 +143,13 @@
         );
     });
 });
+When("{int} paths of {int} slashes are looked up", (count: number, slashes: number) => {
+    lookupMilliseconds = measureCpu(() => {
+        Array.from({ length: count }, (_, index) => {
+            assert.equal(findRouteName(`/r${index}${"/".repeat(slashes)}`), `r${index}`);
+        });
+    });
+});
 Then("the lookups took at most {int} ms of CPU time", (milliseconds: number) => {
     assert.ok(lookupMilliseconds <= milliseconds, `They took ${lookupMilliseconds} ms.`);
 });
