Use only the latest announced backend server at an address

Change: a server is not used while a later one is announced at its address; it is used again if that one is not there.

--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -108,8 +108,18 @@
     };
     const formatAddress = ({ address, port }: BackendRecord) => `${address}:${port}`;
     const incarnationKey = ({ id, startedAt }: BackendRecord) => `${id}@${startedAt}`;
-    const isUsable = ({ record }: BackendServer) =>
+    const isAvailable = ({ record }: BackendServer) =>
         record.state === BackendServerState.Ready && !withdrawnIncarnations.has(incarnationKey(record));
+    const listAtAddress = (record: BackendRecord) => [...serversByAddress.get(formatAddress(record)) ?? []];
+    /**
+     * Only the latest server process can listen at an address. An earlier one that ended without a departure stays
+     * announced for seconds. It is kept, because it is used again if the later one turns out not to be there.
+     */
+    const isSuperseded = ({ record }: BackendServer) =>
+        listAtAddress(record).some(other => other.record.startedAt > record.startedAt && isAvailable(other));
+    const isUsable = (server: BackendServer) => isAvailable(server) && !isSuperseded(server);
+    const updateUsableAtAddress = ({ record }: BackendServer) =>
+        listAtAddress(record).forEach(server => updateUsable(server.record.service, server));
 
     const createServer = (record: BackendRecord): BackendServer => ({
         record,
@@ -129,12 +139,6 @@
         load: undefined,
     });
 
-    /** Only the latest server process can listen at an address; a late announcement may still name an older one. */
-    const isSuperseded = (record: BackendRecord) =>
-        [...serversByAddress.get(formatAddress(record)) ?? []].some(({ record: other }) =>
-            other.id !== record.id && other.startedAt > record.startedAt
-        );
-
     const addServer = (server: BackendServer) => {
         const address = formatAddress(server.record);
         servers.set(server.record.id, server);
@@ -156,7 +160,7 @@
         isNewer: (id, version) => isNewerRecord(version, findRecord(id)),
         merge: record => {
             const existing = servers.get(record.id);
-            if (!isNewerRecord(record, findRecord(record.id)) || (existing === undefined && isSuperseded(record))) {
+            if (!isNewerRecord(record, findRecord(record.id))) {
                 return false;
             }
             const isSameIncarnation = existing?.record.startedAt === record.startedAt
@@ -166,12 +170,13 @@
                 existing.connections.close();
                 removeServer(existing);
                 updateUsable(existing.record.service, existing);
+                updateUsableAtAddress(existing);
             }
             const previousService = existing?.record.service;
             const server = existing !== undefined && isSameIncarnation ? existing : createServer(record);
             server.record = record;
             server.coldUntil = clock.monotonicMilliseconds() + record.coldMilliseconds;
-            if (isUsable(server)) {
+            if (isAvailable(server)) {
                 addServer(server);
                 unusableRecords.delete(record.id);
             }
@@ -184,6 +189,7 @@
                 updateUsable(previousService, server);
             }
             updateUsable(record.service, server);
+            updateUsableAtAddress(server);
             return true;
         },
         listUsable: service => {
@@ -202,6 +208,7 @@
             withdrawnIncarnations.add(key);
             server.connections.close();
             updateUsable(server.record.service, server);
+            updateUsableAtAddress(server);
             return true;
         },
         getGeneration: service => usableByService.get(service)?.generation ?? 0,
--- a/packages/hyssopfront/src/gateway/load-balancing/state-index.feature
+++ b/packages/hyssopfront/src/gateway/load-balancing/state-index.feature
@@ -11,6 +11,18 @@
       | 2    |
       | 3    |
 
+  # Guards against a rejection, by each entry, for each address that another backend server has taken over.
+  Scenario Outline: A backend server whose address a later one has announced is not used unless the later one is not there
+    When <first> and then <second> is announced at the same address
+    Then stoc has no backend server and orders has new-1
+    When new-1 turns out not to be there
+    Then stoc has old-1 and orders has none
+
+    Examples:
+      | first                          | second                         |
+      | old-1 of stoc, started at 1000 | new-1 of orders, started at 5000 |
+      | new-1 of orders, started at 5000 | old-1 of stoc, started at 1000 |
+
   # Guards against a stall of the event loop when an entry starts, or when many servers change.
   Scenario: The first records of thousands of backend servers take little CPU time
     When 2400 backend servers of 5 services are merged in batches of 200
--- a/packages/hyssopfront/src/gateway/load-balancing/state-index.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/state-index.steps.ts
@@ -95,6 +95,26 @@
     assert.ok(Math.max(...batchMilliseconds) <= milliseconds, `They took ${batchMilliseconds.join(", ")} ms.`);
 });
 
+When(
+    /^(\S+) of (\S+), started at (\d+) and then (\S+) of (\S+), started at (\d+) is announced at the same address$/,
+    (id1: string, service1: string, startedAt1: string, id2: string, service2: string, startedAt2: string) => {
+        servers = createServers();
+        servers.merge(createRecord(1, { id: id1, service: service1, startedAt: Number(startedAt1) }));
+        servers.merge(createRecord(1, { id: id2, service: service2, startedAt: Number(startedAt2) }));
+    },
+);
+const listIds = (service: string) => servers.listUsable(service).map(({ record }) => record.id);
+Then("stoc has no backend server and orders has new-1", () => {
+    assert.deepEqual([listIds("stoc"), listIds("orders")], [[], ["new-1"]]);
+});
+When("{word} turns out not to be there", (id: string) => {
+    const server = servers.listAll().find(({ record }) => record.id === id);
+    assert.ok(server !== undefined && servers.stopUsing(server));
+});
+Then("stoc has old-1 and orders has none", () => {
+    assert.deepEqual([listIds("stoc"), listIds("orders")], [["old-1"], []]);
+});
+
 const setRoute = (name: string, pathPrefix: string | undefined) => {
     version += 1;
     const route: Route = {
