Make the parts of a backend server when they are first used

Traced with the time of the main thread, of the process and of the garbage collector for each batch: each announced server got a pool with a connector of its own, its health, warm-up and counter, about 30 closures and 30 us, and collections of this young memory by parallel threads fell into single batches (main thread 30 ms, process 65 ms).

--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -71,6 +71,12 @@
     close(): void;
 };
 
+/** Returns a function that creates a value at its first call. */
+const createOnce = <Value>(create: () => Value) => {
+    let value: Value | undefined;
+    return () => value ??= create();
+};
+
 /**
  * Creates an empty set of backend servers.
  *
@@ -85,7 +91,7 @@
 }): BackendServers {
     const { clock, random } = options;
     const servers = new Map<string, BackendServer>();
-    const serversByAddress = new Map<string, Set<BackendServer>>();
+    const serversByAddress = new Map<string, readonly BackendServer[]>();
     /** Incarnations that must not be used again, whatever their records say. */
     const withdrawnIncarnations = new Set<string>();
     /**
@@ -110,7 +116,7 @@
     const incarnationKey = ({ id, startedAt }: BackendRecord) => `${id}@${startedAt}`;
     const isAvailable = ({ record }: BackendServer) =>
         record.state === BackendServerState.Ready && !withdrawnIncarnations.has(incarnationKey(record));
-    const listAtAddress = (record: BackendRecord) => [...serversByAddress.get(formatAddress(record)) ?? []];
+    const listAtAddress = (record: BackendRecord) => serversByAddress.get(formatAddress(record)) ?? [];
     /**
      * Only the latest server process can listen at an address. An earlier one that ended without a departure stays
      * announced for seconds. It is kept, because it is used again if the later one turns out not to be there.
@@ -118,40 +124,64 @@
     const isSuperseded = ({ record }: BackendServer) =>
         listAtAddress(record).some(other => other.record.startedAt > record.startedAt && isAvailable(other));
     const isUsable = (server: BackendServer) => isAvailable(server) && !isSuperseded(server);
-    const updateUsableAtAddress = ({ record }: BackendServer) =>
-        listAtAddress(record).forEach(server => updateUsable(server.record.service, server));
+    /** Updates a server that has changed, and the others at its address, which it may have superseded. */
+    const updateUsableAtAddress = (server: BackendServer) => {
+        updateUsable(server.record.service, server);
+        listAtAddress(server.record)
+            .filter(other => other !== server)
+            .forEach(other => updateUsable(other.record.service, other));
+    };
 
-    const createServer = (record: BackendRecord): BackendServer => ({
-        record,
-        region: options.getRegion(record.availabilityZone),
-        connections: createBackendConnectionPool({
-            clock,
-            address: record.address,
-            port: record.port,
-            connectTimeoutMilliseconds: CONNECT_TIMEOUT_MS,
-            onConnect: options.onConnect,
-        }),
-        health: createHealth(clock, random),
-        warmUp: createKeyWarmUp(),
-        inFlight: 0,
-        coldUntil: 0,
-        coldRequests: createRequestCounter(clock),
-        load: undefined,
-    });
+    const createServer = (record: BackendRecord): BackendServer => {
+        // Most of thousands of announced servers get no request from this entry soon, so their parts are made when used.
+        const connections = createOnce(() =>
+            createBackendConnectionPool({
+                clock,
+                address: record.address,
+                port: record.port,
+                connectTimeoutMilliseconds: CONNECT_TIMEOUT_MS,
+                onConnect: options.onConnect,
+            })
+        );
+        const health = createOnce(() => createHealth(clock, random));
+        const warmUp = createOnce(createKeyWarmUp);
+        const coldRequests = createOnce(() => createRequestCounter(clock));
+        return {
+            record,
+            region: options.getRegion(record.availabilityZone),
+            get connections() {
+                return connections();
+            },
+            get health() {
+                return health();
+            },
+            get warmUp() {
+                return warmUp();
+            },
+            get coldRequests() {
+                return coldRequests();
+            },
+            inFlight: 0,
+            coldUntil: 0,
+            load: undefined,
+        };
+    };
 
     const addServer = (server: BackendServer) => {
         const address = formatAddress(server.record);
         servers.set(server.record.id, server);
-        serversByAddress.set(address, (serversByAddress.get(address) ?? new Set()).add(server));
+        serversByAddress.set(address, [...listAtAddress(server.record).filter(other => other !== server), server]);
     };
     const removeServer = (server: BackendServer) => {
         const address = formatAddress(server.record);
-        const others = serversByAddress.get(address);
+        const others = listAtAddress(server.record).filter(other => other !== server);
         servers.delete(server.record.id);
-        others?.delete(server);
-        if (others?.size === 0) {
+        if (others.length === 0) {
             serversByAddress.delete(address);
         }
+        else {
+            serversByAddress.set(address, others);
+        }
     };
 
     const findRecord = (id: string) => servers.get(id)?.record ?? unusableRecords.get(id);
@@ -169,7 +199,6 @@
             if (existing !== undefined && !isSameIncarnation) {
                 existing.connections.close();
                 removeServer(existing);
-                updateUsable(existing.record.service, existing);
                 updateUsableAtAddress(existing);
             }
             const previousService = existing?.record.service;
@@ -188,7 +217,6 @@
             if (previousService !== undefined && previousService !== record.service) {
                 updateUsable(previousService, server);
             }
-            updateUsable(record.service, server);
             updateUsableAtAddress(server);
             return true;
         },
@@ -207,7 +235,6 @@
             }
             withdrawnIncarnations.add(key);
             server.connections.close();
-            updateUsable(server.record.service, server);
             updateUsableAtAddress(server);
             return true;
         },
