Test that a running request ends where it runs when its backend server is silent, drains or restarts

Answers a report of other operators: a machine that was only silent had its running work started again elsewhere. It does not happen here: the four cases passed at once (gateway.feature, 4 passed); no change of the code.

--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -254,6 +254,22 @@
     When a caller sends a request to orders and disconnects after 100 ms
     Then the connection to orders-1 is closed within 300 ms
 
+  # Guards against work that is given up or started again because a backend server is silent, leaves or is replaced.
+  Scenario Outline: A running request ends where it runs when its backend server <event>
+    Given orders-1 of orders responds after 400 ms
+    When a caller sends a request to orders, and after 100 ms orders-1 <event>
+    And orders-2 of orders responds
+    Then the caller gets 200 with the body and signature of the backend server
+    And orders-1 got at most 1 request
+    And orders-2 got at most 0 requests
+
+    Examples:
+      | event                     |
+      | is silent                 |
+      | announces that it drains  |
+      | restarts                  |
+      | leaves its service        |
+
   Scenario: A draining backend server gets no more requests
     Given stoc-1 of stoc responds
     And stoc-2 of stoc responds
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -486,6 +486,22 @@
     publishRecord({ ...(fakeServers.get(id) as FakeBackendServer).record, sequence: 2, slots: 5 });
     await waitForFeed();
 });
+const RECORD_CHANGES: Readonly<Record<string, Partial<BackendRecord>>> = {
+    "is silent": { state: BackendServerState.Lost },
+    "announces that it drains": { state: BackendServerState.Draining },
+    "restarts": { startedAt: 2 },
+    "leaves its service": { service: "stoc" },
+};
+When(
+    /^a caller sends a request to orders, and after (\d+) ms orders-1 (.+)$/,
+    async (milliseconds: string, event: string) => {
+        responses = [send("orders")];
+        await clock.sleep(Number(milliseconds));
+        const { record } = fakeServers.get("orders-1") as FakeBackendServer;
+        publishRecord({ ...record, sequence: 2, ...RECORD_CHANGES[event] });
+        await waitForFeed();
+    },
+);
 When("{word} restarts", async (id: string) => {
     publishRecord({ ...(fakeServers.get(id) as FakeBackendServer).record, startedAt: 2 });
     await waitForFeed();
