Use another backend server only if a recent report shows that it is mostly idle

Cause: objects of a full backend server went to the next one that this entry took for idle. With tens of entries, one without a recent report is often full of requests of others; the moved request misses the cache there, evicts another object and is cut at the timeout. The scenario for it failed first.

--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
@@ -43,6 +43,15 @@
     When all backend servers have 18 requests for 6 slots
     Then there is no capacity
 
+  # Guards against requests that move to a backend server which other entries keep full.
+  Scenario: Objects of a full backend server do not go to one whose load was not reported lately
+    When only north-a-1 reports its load, which is 14 requests
+    Then there is no capacity for objects of north-a-1, and the others stay
+
+  Scenario: If no backend server reports its load, objects of a full one go to the next in their ranking
+    When no backend server reports its load, and this entry has 14 requests at north-a-1
+    Then each object of north-a-1 goes to the next backend server in its ranking
+
   # Guards against an entry that never uses a backend server again because it was full at its last response.
   Scenario: A load that was reported long ago is ignored
     When all other backend servers are idle, and north-a-1 has 20 requests
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
@@ -92,6 +92,19 @@
         reportLoad(Number(requestsOfServer), other => other === id);
     },
 );
+When("only {word} reports its load, which is {int} requests", (id: string, requests: number) => {
+    serversBefore = assignAll();
+    reportLoad(requests, other => other === id);
+});
+When(
+    "no backend server reports its load, and this entry has {int} requests at {word}",
+    (requests: number, id: string) => {
+        serversBefore = assignAll();
+        servers.listAll().filter(({ record }) => record.id === id).forEach(server => {
+            server.inFlight = requests;
+        });
+    },
+);
 When("all backend servers have {int} requests for 6 slots", (requests: number) => reportLoad(requests, () => true));
 When("all backend servers but {word} have {int} requests for 6 slots", (id: string, requests: number) => {
     reportLoad(0, other => other === id);
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
@@ -103,6 +103,9 @@
 
 const formatAddress = ({ record }: BackendServer) => `${record.address}:${record.port}`;
 
+const hasRecentReport = ({ load }: BackendServer, now: number) =>
+    load !== undefined && now - load.reportedAt <= REPORTED_LOAD_MAX_AGE_MS;
+
 /**
  * Estimates how many requests a backend server is running or queueing, from the last reported load and the requests
  * that this entry has sent since.
@@ -195,8 +198,12 @@
             if (preferred !== undefined && estimateLoad(preferred, now) < preferred.record.slots * (1 + QUEUE_RATIO)) {
                 return preferred;
             }
-            const isIdle = (server: BackendServer) => estimateLoad(server, now) < server.record.slots * IDLE_LOAD_RATIO;
-            return allowed.find(server => server !== preferred && isIdle(server) && isEligible(server))
+            // A backend server without a recent report may be full of requests of other entries, which this one cannot see.
+            const reportsLoad = allowed.some(({ load }) => load !== undefined);
+            const isKnownIdle = (server: BackendServer) =>
+                (!reportsLoad || hasRecentReport(server, now))
+                && estimateLoad(server, now) < server.record.slots * IDLE_LOAD_RATIO;
+            return allowed.find(server => server !== preferred && isKnownIdle(server) && isEligible(server))
                 ?? SelectionFailure.NoCapacity;
         },
         summarizeCapacity: selectionRequest => {
