Create the parts of a backend server in a class instead of an object literal with accessors

Cause: read in the diff: V8 gives each object literal with accessors a hidden class of its own, which makes loops over all servers slow.

--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -71,12 +71,50 @@
     close(): void;
 };
 
-/** Returns a function that creates a value at its first call. */
-const createOnce = <Value>(create: () => Value) => {
-    let value: Value | undefined;
-    return () => value ??= create();
+/** Creates the parts of a backend server. */
+type PartFactories = {
+    readonly createConnections: () => BackendConnectionPool;
+    readonly createHealth: () => Health;
+    readonly createColdRequests: () => RequestCounter;
 };
 
+/**
+ * Creates its parts when they are first used, as most of thousands of announced servers get no request from this entry
+ * soon. It is a class because accessors of an object literal would give each server a hidden class of its own, which
+ * makes loops over all servers slow.
+ */
+class AnnouncedBackendServer implements BackendServer {
+    inFlight = 0;
+    coldUntil = 0;
+    load: ReportedLoad | undefined = undefined;
+    private createdConnections: BackendConnectionPool | undefined = undefined;
+    private createdHealth: Health | undefined = undefined;
+    private createdWarmUp: KeyWarmUp | undefined = undefined;
+    private createdColdRequests: RequestCounter | undefined = undefined;
+
+    constructor(
+        public record: BackendRecord,
+        readonly region: string,
+        private readonly factories: PartFactories,
+    ) {}
+
+    get connections(): BackendConnectionPool {
+        return this.createdConnections ??= this.factories.createConnections();
+    }
+
+    get health(): Health {
+        return this.createdHealth ??= this.factories.createHealth();
+    }
+
+    get warmUp(): KeyWarmUp {
+        return this.createdWarmUp ??= createKeyWarmUp();
+    }
+
+    get coldRequests(): RequestCounter {
+        return this.createdColdRequests ??= this.factories.createColdRequests();
+    }
+}
+
 /**
  * Creates an empty set of backend servers.
  *
@@ -132,40 +170,19 @@
             .forEach(other => updateUsable(other.record.service, other));
     };
 
-    const createServer = (record: BackendRecord): BackendServer => {
-        // Most of thousands of announced servers get no request from this entry soon, so their parts are made when used.
-        const connections = createOnce(() =>
-            createBackendConnectionPool({
-                clock,
-                address: record.address,
-                port: record.port,
-                connectTimeoutMilliseconds: CONNECT_TIMEOUT_MS,
-                onConnect: options.onConnect,
-            })
-        );
-        const health = createOnce(() => createHealth(clock, random));
-        const warmUp = createOnce(createKeyWarmUp);
-        const coldRequests = createOnce(() => createRequestCounter(clock));
-        return {
-            record,
-            region: options.getRegion(record.availabilityZone),
-            get connections() {
-                return connections();
-            },
-            get health() {
-                return health();
-            },
-            get warmUp() {
-                return warmUp();
-            },
-            get coldRequests() {
-                return coldRequests();
-            },
-            inFlight: 0,
-            coldUntil: 0,
-            load: undefined,
-        };
-    };
+    const createServer = (record: BackendRecord): BackendServer =>
+        new AnnouncedBackendServer(record, options.getRegion(record.availabilityZone), {
+            createConnections: () =>
+                createBackendConnectionPool({
+                    clock,
+                    address: record.address,
+                    port: record.port,
+                    connectTimeoutMilliseconds: CONNECT_TIMEOUT_MS,
+                    onConnect: options.onConnect,
+                }),
+            createHealth: () => createHealth(clock, random),
+            createColdRequests: () => createRequestCounter(clock),
+        });
 
     const addServer = (server: BackendServer) => {
         const address = formatAddress(server.record);
