Start the stop under load after a number of responses instead of after a time

Cause: 'A stop under load cuts off no request that reached a backend server' failed once at a load of 17 (gateway.steps.ts:667, too few responses). Traced by printing the number: callers had 300 ms before the stop to get most of 200 responses. Change: the stop starts once 200 responses have arrived, and at least one must arrive during the stop, which was not checked. That none that reached a backend server goes unanswered is checked as before.

--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -376,8 +376,8 @@
     Given an entry that may take 2000 ms to stop
     And stoc-1 of stoc responds after 20 ms
     And stoc-2 of stoc responds after 20 ms
-    When 60 callers keep sending requests to stoc on kept connections while the entry stops
-    Then at least 200 of their requests got a response, and none that reached a backend server got none
+    When 60 callers keep sending requests to stoc on kept connections, and the entry stops after 200 responses
+    Then at least 1 response arrived during the stop, and no request that reached a backend server got none
 
   # Guards against a process that exits before it has read the first request of an accepted connection.
   Scenario: A stop waits for the request of a recently accepted connection
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -57,6 +57,7 @@
 let respondedAt: number;
 let unanswered: string[];
 let keptResponses: number;
+let responsesBeforeStop: number;
 let hasStopped: boolean;
 let rawResponse: string;
 let isRawConnectionClosed: boolean;
@@ -646,13 +647,14 @@
     agent.destroy();
 };
 When(
-    "{int} callers keep sending requests to {word} on kept connections while the entry stops",
-    async (count: number, service: string) => {
+    "{int} callers keep sending requests to {word} on kept connections, and the entry stops after {int} responses",
+    async (count: number, service: string, responsesBefore: number) => {
         unanswered = [];
         keptResponses = 0;
         hasStopped = false;
         const callers = Array.from({ length: count }, (_, caller) => keepSending(service, caller));
-        await clock.sleep(300);
+        await waitUntil(() => keptResponses >= responsesBefore);
+        responsesBeforeStop = keptResponses;
         stopPromise = gateway.stop();
         await stopPromise;
         hasStopped = true;
@@ -660,11 +662,12 @@
     },
 );
 Then(
-    "at least {int} of their requests got a response, and none that reached a backend server got none",
+    "at least {int} response(s) arrived during the stop, and no request that reached a backend server got none",
     (count: number) => {
         const reached = [...fakeServers.values()].flatMap(({ requests }) => requests).join("\n");
         assert.deepEqual(unanswered.filter(id => reached.includes(`: ${id}\r`)), []);
-        assert.ok(keptResponses >= count, `${keptResponses} got a response.`);
+        const duringStop = keptResponses - responsesBeforeStop;
+        assert.ok(duringStop >= count, `${duringStop} arrived during the stop.`);
     },
 );
 Then("{word} got at least {int} requests", (id: string, count: number) => {
