Share sample values of tests, and simplify the throttle and the parts of backend servers

Found by reading the whole change again; behaviour stays as it is. - Sample records and routes stood in five test files: catalog/sample-route.ts and registry/sample-backend-record.ts. - A shared connector of all pools is not needed since pools are made at first use: it is made with its pool again. - The parts of a backend server are made from the dependencies of the set, without three functions for each server; the others at an address are listed in one place. - The throttle has one method for the end of a request; its rejected share was public, but only used inside.

--- a/packages/hyssopfront/src/feed/feed.steps.ts
+++ b/packages/hyssopfront/src/feed/feed.steps.ts
@@ -12,6 +12,7 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { deflateRawSync } from "node:zlib";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { SAMPLE_ROUTE } from "../catalog/sample-route.js";
 import { ControlRequestKind, GATEWAY_CLUSTER_ID, readFeedRequestSchema } from "../gateway-control/messages.js";
 import {
     type ChangeFeed,
@@ -228,18 +229,7 @@
             version: 45,
             value: {
                 kind: "route",
-                route: {
-                    host: "gateway.example",
-                    pathPrefix: `/p${index}/`,
-                    isIdempotent: true,
-                    timeoutMilliseconds: 1_000,
-                    latencyObjectiveMilliseconds: 200,
-                    priority: 0,
-                    services: [{ service: "stoc", weight: 1 }],
-                    maximumAttempts: 2,
-                    hasAffinity: true,
-                    homeRegions: [],
-                },
+                route: { ...SAMPLE_ROUTE, pathPrefix: `/p${index}/` },
             },
         }),
     }));
--- a/packages/hyssopfront/src/gateway/backend-servers.ts
+++ b/packages/hyssopfront/src/gateway/backend-servers.ts
@@ -71,11 +71,14 @@
     close(): void;
 };
 
-/** Creates the parts of a backend server. */
-type PartFactories = {
-    readonly createConnections: () => BackendConnectionPool;
-    readonly createHealth: () => Health;
-    readonly createColdRequests: () => RequestCounter;
+/** Dependencies of the set of backend servers. */
+export type BackendServersOptions = {
+    readonly clock: Clock;
+    readonly random: () => number;
+    /** Returns the region of an availability zone. */
+    readonly getRegion: (availabilityZone: string) => string;
+    /** Called for each connection that is opened to a backend server. */
+    readonly onConnect: () => void;
 };
 
 /**
@@ -92,18 +95,27 @@
     private createdWarmUp: KeyWarmUp | undefined = undefined;
     private createdColdRequests: RequestCounter | undefined = undefined;
 
+    readonly region: string;
+
     constructor(
         public record: BackendRecord,
-        readonly region: string,
-        private readonly factories: PartFactories,
-    ) {}
+        private readonly options: BackendServersOptions,
+    ) {
+        this.region = options.getRegion(record.availabilityZone);
+    }
 
     get connections(): BackendConnectionPool {
-        return this.createdConnections ??= this.factories.createConnections();
+        return this.createdConnections ??= createBackendConnectionPool({
+            clock: this.options.clock,
+            address: this.record.address,
+            port: this.record.port,
+            connectTimeoutMilliseconds: CONNECT_TIMEOUT_MS,
+            onConnect: this.options.onConnect,
+        });
     }
 
     get health(): Health {
-        return this.createdHealth ??= this.factories.createHealth();
+        return this.createdHealth ??= createHealth(this.options.clock, this.options.random);
     }
 
     get warmUp(): KeyWarmUp {
@@ -111,23 +123,13 @@
     }
 
     get coldRequests(): RequestCounter {
-        return this.createdColdRequests ??= this.factories.createColdRequests();
+        return this.createdColdRequests ??= createRequestCounter(this.options.clock);
     }
 }
 
-/**
- * Creates an empty set of backend servers.
- *
- * @param options.getRegion Returns the region of an availability zone.
- * @param options.onConnect Called for each connection that is opened to a backend server.
- */
-export function createBackendServers(options: {
-    readonly clock: Clock;
-    readonly random: () => number;
-    readonly getRegion: (availabilityZone: string) => string;
-    readonly onConnect: () => void;
-}): BackendServers {
-    const { clock, random } = options;
+/** Creates an empty set of backend servers. */
+export function createBackendServers(options: BackendServersOptions): BackendServers {
+    const { clock } = options;
     const servers = new Map<string, BackendServer>();
     const serversByAddress = new Map<string, readonly BackendServer[]>();
     /** Incarnations that must not be used again, whatever their records say. */
@@ -154,44 +156,31 @@
     const incarnationKey = ({ id, startedAt }: BackendRecord) => `${id}@${startedAt}`;
     const isAvailable = ({ record }: BackendServer) =>
         record.state === BackendServerState.Ready && !withdrawnIncarnations.has(incarnationKey(record));
-    const listAtAddress = (record: BackendRecord) => serversByAddress.get(formatAddress(record)) ?? [];
+    const listOthersAtAddress = (server: BackendServer) =>
+        (serversByAddress.get(formatAddress(server.record)) ?? []).filter(other => other !== server);
     /**
      * Only the latest server process can listen at an address. An earlier one that ended without a departure stays
      * announced for seconds. It is kept, because it is used again if the later one turns out not to be there.
      */
-    const isSuperseded = ({ record }: BackendServer) =>
-        listAtAddress(record).some(other => other.record.startedAt > record.startedAt && isAvailable(other));
+    const isSuperseded = (server: BackendServer) =>
+        listOthersAtAddress(server).some(other =>
+            other.record.startedAt > server.record.startedAt && isAvailable(other)
+        );
     const isUsable = (server: BackendServer) => isAvailable(server) && !isSuperseded(server);
     /** Updates a server that has changed, and the others at its address, which it may have superseded. */
     const updateUsableAtAddress = (server: BackendServer) => {
         updateUsable(server.record.service, server);
-        listAtAddress(server.record)
-            .filter(other => other !== server)
-            .forEach(other => updateUsable(other.record.service, other));
+        listOthersAtAddress(server).forEach(other => updateUsable(other.record.service, other));
     };
 
-    const createServer = (record: BackendRecord): BackendServer =>
-        new AnnouncedBackendServer(record, options.getRegion(record.availabilityZone), {
-            createConnections: () =>
-                createBackendConnectionPool({
-                    clock,
-                    address: record.address,
-                    port: record.port,
-                    connectTimeoutMilliseconds: CONNECT_TIMEOUT_MS,
-                    onConnect: options.onConnect,
-                }),
-            createHealth: () => createHealth(clock, random),
-            createColdRequests: () => createRequestCounter(clock),
-        });
-
     const addServer = (server: BackendServer) => {
         const address = formatAddress(server.record);
         servers.set(server.record.id, server);
-        serversByAddress.set(address, [...listAtAddress(server.record).filter(other => other !== server), server]);
+        serversByAddress.set(address, [...listOthersAtAddress(server), server]);
     };
     const removeServer = (server: BackendServer) => {
         const address = formatAddress(server.record);
-        const others = listAtAddress(server.record).filter(other => other !== server);
+        const others = listOthersAtAddress(server);
         servers.delete(server.record.id);
         if (others.length === 0) {
             serversByAddress.delete(address);
@@ -219,7 +208,9 @@
                 updateUsableAtAddress(existing);
             }
             const previousService = existing?.record.service;
-            const server = existing !== undefined && isSameIncarnation ? existing : createServer(record);
+            const server = existing !== undefined && isSameIncarnation
+                ? existing
+                : new AnnouncedBackendServer(record, options);
             server.record = record;
             server.coldUntil = clock.monotonicMilliseconds() + record.coldMilliseconds;
             if (isAvailable(server)) {
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -192,7 +192,7 @@
         }
         // A caller that allows less time than a response may take says nothing about the service.
         if (endsAt - startedAt >= route.latencyObjectiveMilliseconds) {
-            throttle.recordTimeout();
+            throttle.recordEnd(false);
         }
         if (state.possibleRuns === 0) {
             return reject(ForwardOutcome.TimedOut);
@@ -330,16 +330,11 @@
                         caller.sendLocalResponse({ status: 502 });
                         return ForwardOutcome.Failed;
                     }
-                    if (head?.status === GATEWAY_TIMEOUT) {
-                        throttle.recordTimeout();
-                    }
-                    else {
-                        throttle.recordCompleted();
-                    }
+                    throttle.recordEnd(head?.status !== GATEWAY_TIMEOUT);
                     caller.send(head as NonNullable<typeof head>, body ?? Buffer.alloc(0));
                     return ForwardOutcome.Completed;
                 case DispatchOutcome.Streamed:
-                    throttle.recordCompleted();
+                    throttle.recordEnd(true);
                     return ForwardOutcome.Completed;
                 case DispatchOutcome.Truncated:
                     caller.abort();
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -5,11 +5,13 @@
 import { Agent, type IncomingHttpHeaders, request as sendRequest } from "node:http";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
+import { SAMPLE_ROUTE } from "../catalog/sample-route.js";
 import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
 import { createFeedServer } from "../feed/serve-feed.js";
 import { ControlRequestKind, FeedKey, GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import { createPrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
+import { SAMPLE_BACKEND_RECORD } from "../registry/sample-backend-record.js";
 import { type EventLoopLag, measureEventLoopLag } from "./event-loop-lag.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "./sample-header-names.js";
 import { parsePauseMilliseconds } from "./server-notices.js";
@@ -218,16 +220,11 @@
 const waitForFeed = () => clock.sleep(120);
 
 const routeTo = (service: string, isIdempotent: boolean): Route => ({
-    host: "gateway.example",
+    ...SAMPLE_ROUTE,
     pathPrefix: `/${service}/`,
     isIdempotent,
     timeoutMilliseconds: TIMEOUT_MS,
-    latencyObjectiveMilliseconds: 200,
-    priority: 0,
     services: [{ service, weight: 1 }],
-    maximumAttempts: 2,
-    hasAffinity: true,
-    homeRegions: [],
 });
 
 async function startEntry(hasCatalog: boolean, stopMilliseconds = STOP_MS): Promise<void> {
@@ -317,16 +314,12 @@
     server.listen(0, HOST);
     await new Promise(resolve => server.once("listening", resolve));
     const record: BackendRecord = {
+        ...SAMPLE_BACKEND_RECORD,
         id,
         service,
         address: HOST,
         port: (server.address() as AddressInfo).port,
-        availabilityZone: "z1",
-        slots: 4,
-        state: BackendServerState.Ready,
         coldMilliseconds,
-        startedAt: 1,
-        sequence: 1,
         coldPortions: { "entry-1": 5 },
     };
     const fakeServer: FakeBackendServer = {
@@ -518,17 +511,8 @@
 };
 When(/^the feed has a backend server with (.+)$/, (fault: string) => {
     const record = {
+        ...SAMPLE_BACKEND_RECORD,
         id: "odd",
-        service: "stoc",
-        address: HOST,
-        port: 80,
-        availabilityZone: "z1",
-        slots: 4,
-        state: BackendServerState.Ready,
-        coldMilliseconds: 0,
-        startedAt: 1,
-        sequence: 1,
-        coldPortions: {},
         ...INVALID_RECORDS[fault],
     };
     feed.set(`${FeedKey.BackendServer}odd`, () => record);
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
@@ -2,6 +2,7 @@
 import { createManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { BackendServerState } from "../../registry/backend-record.js";
+import { SAMPLE_BACKEND_RECORD } from "../../registry/sample-backend-record.js";
 import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
 import { createLoadBalancer, type LoadBalancer, SelectionFailure } from "./load-balancer.js";
 import { hashText } from "./simulated-service.js";
@@ -18,17 +19,11 @@
 
 const getRegion = (zone: string) => zone.split("-")[0] as string;
 const record = (zone: string, number: number) => ({
+    ...SAMPLE_BACKEND_RECORD,
     id: `${zone}-${number}`,
-    service: "stoc",
     address: `${zone}-${number}`,
-    port: 80,
     availabilityZone: zone,
     slots: SLOTS,
-    state: BackendServerState.Ready,
-    coldMilliseconds: 0,
-    startedAt: 1,
-    sequence: 1,
-    coldPortions: {},
 });
 const selectServer = (affinityKey: string, homeRegions: readonly string[] = []) =>
     loadBalancer.selectServer({ service: "stoc", affinityKey, homeRegions, excluded: new Set() });
--- a/packages/hyssopfront/src/gateway/load-balancing/overload-throttle.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/overload-throttle.steps.ts
@@ -22,12 +22,7 @@
     for (let request = 0; request < total; request += 1) {
         // Spreads the timeouts evenly among the completed requests.
         const isTimeout = Math.floor((request + 1) * timeouts / total) > Math.floor(request * timeouts / total);
-        if (isTimeout) {
-            throttle.recordTimeout();
-        }
-        else {
-            throttle.recordCompleted();
-        }
+        throttle.recordEnd(!isTimeout);
         await throttleClock.advance(seconds * SECOND_MS / total);
     }
 };
@@ -41,7 +36,7 @@
     async (rate: number, seconds: number) => {
         for (let request = 0; request < rate * seconds; request += 1) {
             if (throttle.admits(false)) {
-                throttle.recordCompleted();
+                throttle.recordEnd(true);
             }
             await throttleClock.advance(SECOND_MS / rate);
         }
--- a/packages/hyssopfront/src/gateway/load-balancing/overload-throttle.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/overload-throttle.ts
@@ -24,12 +24,8 @@
      * @param isCached True if the object of the request is known to be cached. Such requests are always admitted.
      */
     admits(isCached: boolean): boolean;
-    /** Records that the service has responded in time. */
-    recordCompleted(): void;
-    /** Records that the service has not responded in time. */
-    recordTimeout(): void;
-    /** Share of the requests for objects that are not known to be cached that would be rejected now, from 0 to 1. */
-    rejectedShare(): number;
+    /** Records whether the service has responded in time. */
+    recordEnd(isCompleted: boolean): void;
 };
 
 /**
@@ -49,28 +45,27 @@
         completed *= factor;
         updatedAt = now;
     };
+    const recordEnd = (isCompleted: boolean) => {
+        decay();
+        requests += 1;
+        completed += isCompleted ? 1 : 0;
+    };
+    /** Share of the requests for objects that are not known to be cached that are rejected now, from 0 to 1. */
     const rejectedShare = () => {
         decay();
         const excess = requests - ADMITTED_PER_COMPLETED * completed - TOLERATED_TIMEOUTS;
         return Math.max(0, excess / (requests + 1));
     };
-    const record = (completedRequests: number) => {
-        decay();
-        requests += 1;
-        completed += completedRequests;
-    };
 
     return {
         admits: isCached => {
             const isAdmitted = isCached || random() >= rejectedShare();
             if (!isAdmitted) {
-                record(0);
+                recordEnd(false);
             }
             return isAdmitted;
         },
-        recordCompleted: () => record(1),
-        recordTimeout: () => record(0),
-        rejectedShare,
+        recordEnd,
     };
 }
 
--- a/packages/hyssopfront/src/gateway/load-balancing/overload.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/overload.steps.ts
@@ -34,7 +34,7 @@
 /** Zones in the order of their evacuation, each in a different region. */
 const EVACUATION_ORDER = ["middle-a", "east-a", "west-a"];
 
-let service: SimulatedService;
+let service: Omit<SimulatedService, "countedFrom">;
 let simulatedMilliseconds: number;
 
 const simulate = (countedFrom: number): Promise<readonly SimulationResult[]> =>
@@ -54,7 +54,6 @@
         timeoutMilliseconds: 2 * SECOND_MS,
         deadlineMilliseconds: 2 * SECOND_MS,
         isIdempotent: false,
-        countedFrom: 0,
         cachesLostAt: Infinity,
         requestsPerSecond: () => 0,
         isEvacuated: () => false,
@@ -66,22 +65,16 @@
     (servers: number, slots: number, entries: number, timeoutMilliseconds: number) => {
         const regions = ["east", "middle", "west"];
         service = {
+            ...service,
             zones: regions.map(region => createZone(region, "a", servers / regions.length)),
             entriesPerRegion: entries / regions.length,
             slots,
             queueLength: 3 * slots,
             cachedObjects: 16,
             objectsPerRegion: 14 * servers / regions.length,
-            firstRunMilliseconds: 0,
-            laterRunMilliseconds: 0,
-            objectiveMilliseconds: 0,
             timeoutMilliseconds,
             deadlineMilliseconds: 4 * SECOND_MS,
             isIdempotent: true,
-            countedFrom: 0,
-            cachesLostAt: Infinity,
-            requestsPerSecond: () => 0,
-            isEvacuated: () => false,
             // Backend servers of one service differ in speed.
             getSlowdown: id => 0.8 + Number(id.split("-")[2]) % 6 / 10,
         };
--- a/packages/hyssopfront/src/gateway/load-balancing/simulated-service.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/simulated-service.ts
@@ -4,7 +4,8 @@
  */
 import { createSeededRandom } from "@hyssopfront/bench/random/seeded-random.js";
 import type { Clock } from "@hyssopfront/coordination";
-import { type BackendRecord, BackendServerState } from "../../registry/backend-record.js";
+import type { BackendRecord } from "../../registry/backend-record.js";
+import { SAMPLE_BACKEND_RECORD } from "../../registry/sample-backend-record.js";
 import { type BackendServer, createBackendServers } from "../backend-servers.js";
 import { createLoadBalancer, type LoadBalancer } from "./load-balancer.js";
 import { createOverloadThrottle, type OverloadThrottle } from "./overload-throttle.js";
@@ -128,9 +129,7 @@
         let running = 0;
         let waiting: SimulatedRequest[] = [];
         const load = () => ({ running, waiting: waiting.length });
-        if (service.cachesLostAt < Infinity) {
-            schedule(service.cachesLostAt, () => cached.clear());
-        }
+        schedule(service.cachesLostAt, () => cached.clear());
         const startNext = () => {
             running -= 1;
             const next = waiting.shift();
@@ -181,17 +180,12 @@
 
     const records = service.zones.flatMap(({ availabilityZone, servers }) =>
         Array.from({ length: servers }, (_, index): BackendRecord => ({
+            ...SAMPLE_BACKEND_RECORD,
             id: `${availabilityZone}-${index + 1}`,
             service: "orders",
             address: `${availabilityZone}-${index + 1}`,
-            port: 80,
             availabilityZone,
             slots: service.slots,
-            state: BackendServerState.Ready,
-            coldMilliseconds: 0,
-            startedAt: 1,
-            sequence: 1,
-            coldPortions: {},
         }))
     );
     const simulated = new Map(records.map(({ id }) => [id, createServer(id)]));
@@ -230,7 +224,7 @@
         let isAdmitted = false;
         for (;;) {
             if (now >= endsAt) {
-                entry.throttle.recordTimeout();
+                entry.throttle.recordEnd(false);
                 return "failed";
             }
             const server = entry.loadBalancer.selectServer({
@@ -263,7 +257,7 @@
             const outcome = await send(entry.region, server, key, endsAt);
             recordEnd(outcome === "answered");
             if (outcome !== "refused") {
-                entry.throttle[outcome === "answered" ? "recordCompleted" : "recordTimeout"]();
+                entry.throttle.recordEnd(outcome === "answered");
                 return outcome;
             }
             if (excluded.size >= 2) {
--- a/packages/hyssopfront/src/gateway/load-balancing/state-index.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/state-index.steps.ts
@@ -2,8 +2,10 @@
 import { createManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { ItemKind, type Route } from "../../catalog/items.js";
+import { ItemKind } from "../../catalog/items.js";
+import { SAMPLE_ROUTE } from "../../catalog/sample-route.js";
 import { type BackendRecord, BackendServerState, isNewerRecord } from "../../registry/backend-record.js";
+import { SAMPLE_BACKEND_RECORD } from "../../registry/sample-backend-record.js";
 import { type BackendServers, createBackendServers } from "../backend-servers.js";
 import { type CatalogView, createCatalogView } from "../catalog-view.js";
 
@@ -25,17 +27,10 @@
         onConnect: () => undefined,
     });
 const createRecord = (number: number, changes: Partial<BackendRecord> = {}): BackendRecord => ({
+    ...SAMPLE_BACKEND_RECORD,
     id: `server-${number}`,
     service: SERVICES[number % SERVICES.length] as string,
     address: `10.0.${number >> 8}.${number & 255}`,
-    port: 80,
-    availabilityZone: "z1",
-    slots: 4,
-    state: BackendServerState.Ready,
-    coldMilliseconds: 0,
-    startedAt: 1,
-    sequence: 1,
-    coldPortions: {},
     ...changes,
 });
 /** Runs an action and returns the CPU time that it took, in milliseconds. */
@@ -117,19 +112,9 @@
 
 const setRoute = (name: string, pathPrefix: string | undefined) => {
     version += 1;
-    const route: Route = {
-        host: "gateway.example",
-        pathPrefix: pathPrefix ?? "/",
-        isIdempotent: true,
-        timeoutMilliseconds: 1_000,
-        latencyObjectiveMilliseconds: 200,
-        priority: 0,
-        services: [{ service: "stoc", weight: 1 }],
-        maximumAttempts: 2,
-        hasAffinity: true,
-        homeRegions: [],
-    };
-    const value = pathPrefix === undefined ? undefined : { kind: ItemKind.Route, route } as const;
+    const value = pathPrefix === undefined
+        ? undefined
+        : { kind: ItemKind.Route, route: { ...SAMPLE_ROUTE, pathPrefix } } as const;
     catalog.merge({ kind: ItemKind.Route, name, version, value, source: undefined });
 };
 const createCatalog = () => {
--- a/packages/hyssopfront/src/routing/backend-connection-pool.ts
+++ b/packages/hyssopfront/src/routing/backend-connection-pool.ts
@@ -64,14 +64,6 @@
 const isUnsolicited = (error: Error & { code?: string }) =>
     error.message === "bad response" || error.code?.startsWith("HPE_") === true;
 
-/** Connectors by timeout in milliseconds. They keep no state of plain connections, so all pools share them. */
-const connectors = new Map<number, buildConnector.connector>();
-const findConnector = (timeout: number) => {
-    const connector = connectors.get(timeout) ?? buildConnector({ timeout, autoSelectFamily: false });
-    connectors.set(timeout, connector);
-    return connector;
-};
-
 const formatOrigin = (address: string, port: number) =>
     `http://${address.includes(":") ? `[${address}]` : address}:${port}`;
 
@@ -111,8 +103,12 @@
         void connection.client.destroy();
     };
 
+    const openSocket = buildConnector({
+        timeout: options.connectTimeoutMilliseconds ?? 1_000,
+        autoSelectFamily: false,
+    });
+
     const connect = (): BackendConnection => {
-        const openSocket = findConnector(options.connectTimeoutMilliseconds ?? 1_000);
         const client = new Client(origin, {
             pipelining: 1,
             connect: (connectOptions, callback) =>
