Review: show that a control instance outside the group acknowledges departures alone

Case 5: a replacement that is cut off when it starts acknowledges a departure that nobody else learns.

--- a/review/stand-ins/harness.mjs
+++ b/review/stand-ins/harness.mjs
@@ -61,8 +61,21 @@
 export const sleep = milliseconds => new Promise(done => setTimeout(done, milliseconds));
 const pick = list => list[Math.floor(Math.random() * list.length)];
 
-/** Sends one HTTP request and resolves with the response; rejects if there is none within the timeout. */
-export function sendHttp(options, body, timeoutMilliseconds) {
+/** Writes a body in parts of `partBytes`, one in each interval, as over a slow link. */
+async function writeSlowly(request, body, { partBytes, intervalMilliseconds }) {
+    for (let offset = 0; offset < body.length && !request.destroyed; offset += partBytes) {
+        request.write(body.subarray(offset, offset + partBytes));
+        await sleep(intervalMilliseconds);
+    }
+    request.end();
+}
+
+/**
+ * Sends one HTTP request and resolves with the response; rejects if there is none within the timeout.
+ *
+ * @param pace Speed at which the body is written; at once by default.
+ */
+export function sendHttp(options, body, timeoutMilliseconds, pace) {
     return new Promise((done, fail) => {
         const request = httpRequest(options, response => {
             const chunks = [];
@@ -81,12 +94,23 @@
                 fail(new Error("The response broke off."));
             });
         });
-        const timer = setTimeout(() => request.destroy(new Error("timeout")), timeoutMilliseconds);
+        const timer = setTimeout(
+            () =>
+                request.destroy(
+                    new Error(request.writableFinished ? "timeout" : "timeout before the request was sent"),
+                ),
+            timeoutMilliseconds,
+        );
         request.on("error", error => {
             clearTimeout(timer);
             fail(error);
         });
-        request.end(body);
+        if (pace === undefined) {
+            request.end(body);
+        }
+        else {
+            void writeSlowly(request, body, pace);
+        }
     });
 }
 
@@ -181,7 +205,7 @@
         log(`platform: ${name} starts`);
     };
     const writeSettings = (machine, isFirstStart) =>
-        writeFileSync(machine.settingsPath, formatSettings({ ...machine, seeds, isFirstStart }));
+        writeFileSync(machine.settingsPath, formatSettings({ seeds, ...machine, isFirstStart }));
     const signal = (name, signalName) => {
         machines.get(name).child.kill(signalName);
         log(`platform: ${signalName} to ${name}`);
@@ -267,8 +291,9 @@
      * Starts an upstream, which counts and runs requests and sends heartbeats.
      *
      * @param work Milliseconds that a request takes in a slot.
+     * @param rejectsEarly Returns true for a request that is to be rejected before its body is read.
      */
-    const startUpstream = async ({ service, zone, number, slots, work }) => {
+    const startUpstream = async ({ service, zone, number, slots, work, rejectsEarly = () => false }) => {
         const id = `i-${randomUUID().slice(0, 8)}`;
         const address = `${block}.${100 + number}`;
         const born = Date.now();
@@ -286,10 +311,17 @@
             }
         };
         const server = createServer({ keepAliveTimeout: 10_000 }, (message, response) => {
-            const chunks = [];
-            message.on("data", chunk => chunks.push(chunk));
+            const requestId = message.headers["request-id"];
+            if (rejectsEarly(message)) {
+                log(`upstream ${id} ${zone}: rejects ${requestId} unread`);
+                response.writeHead(503, { "request-id": requestId, "not-executed": "1", "content-length": 0 });
+                response.end();
+                // Reads on later.
+                setTimeout(() => message.resume(), 200);
+                return;
+            }
+            message.resume();
             message.on("end", () => {
-                const requestId = message.headers["request-id"];
                 const arrivedAt = now();
                 const run = { requestId, arrivedAt, endedAt: undefined, isCut: false };
                 if (message.headers["expected-instance"] !== id) {
@@ -353,10 +385,11 @@
             };
         };
         /** Calls nodes in turn until one acknowledges. */
-        const announce = async (call, body) => {
+        const announce = async (call, body, firstChoices = []) => {
             const first = Math.floor(Math.random() * controls.length);
-            for (let turn = 0; turn < 8; turn += 1) {
-                const machine = controls[(first + turn) % controls.length];
+            const inTurn = controls.map((_, index) => controls[(first + index) % controls.length]);
+            const candidates = [...firstChoices, ...inTurn, ...inTurn];
+            for (const machine of candidates) {
                 const outcome = await callControl(machine, `${call}&of=${id}`, body).catch(error => error);
                 if (outcome.status === 200) {
                     return { acknowledgedAt: now(), by: machine.name };
@@ -380,10 +413,10 @@
             stopBeating: () => {
                 isBeating = false;
             },
-            /** Announces the departure without draining first. */
-            leave: async () => {
+            /** Announces the departure without draining first, to the given nodes before the others. */
+            leave: async firstChoices => {
                 isBeating = false;
-                const outcome = await announce("instances.leave", { born });
+                const outcome = await announce("instances.leave", { born }, firstChoices);
                 log(`upstream ${id} ${zone}: leave acknowledged by ${outcome?.by ?? "nobody"}`);
                 return outcome;
             },
@@ -398,7 +431,7 @@
     };
 
     /** Sends one request of a client over a new connection or an agent, and resolves with what the client has seen. */
-    const sendRequest = async (entry, { method, path, host, deadline, key, agent = false, body }) => {
+    const sendRequest = async (entry, { method, path, host, deadline, key, agent = false, body, pace }) => {
         const requestId = randomUUID().replaceAll("-", "").slice(0, 16);
         const sentAt = now();
         log(`client: ${requestId} ${method} ${path} sent to ${entry.name}`);
@@ -419,6 +452,7 @@
             },
             body,
             deadline,
+            pace,
         ).catch(error => error);
         const seen = outcome instanceof Error ? outcome.message : String(outcome.status);
         log(`client: ${requestId} gets ${seen} from ${entry.name}`);
@@ -478,6 +512,26 @@
         writeSettings(machine, false);
         launch(machine);
     };
+    /**
+     * Adds a control instance with an empty disk at a new address.
+     *
+     * @param isCutOff True if it cannot reach any other instance: its seeds do not answer, and nobody else knows it.
+     */
+    const addControl = (name, zone, isCutOff) => {
+        addMachine(name, true, zone, `${block}.6`);
+        const machine = machines.get(name);
+        machine.seeds = isCutOff ? [201, 202, 203].map(number => `${block}.${number}`) : seeds;
+        controls.push(machine);
+        startOne(name);
+        return machine;
+    };
+    /** Lets a control instance that was cut off reach the others, through its settings. */
+    const rejoin = name => {
+        const machine = machines.get(name);
+        delete machine.seeds;
+        writeSettings(machine, false);
+        signal(name, "SIGHUP");
+    };
 
     return {
         now,
@@ -487,6 +541,8 @@
         machines,
         startAll,
         startOne,
+        addControl,
+        rejoin,
         signal,
         order,
         callControl,
@@ -499,7 +555,8 @@
     };
 }
 
-export const createAgent = () => new Agent({ keepAlive: true, maxSockets: 64 });
+/** A client's only connection, which it keeps for many requests. */
+export const createConnection = () => new Agent({ keepAlive: true, maxSockets: 1 });
 
 /** Items of the first configuration: services with one route each, and the limits. */
 export function createFirstItems(services) {
