--- a/review/stand-ins/harness.mjs
+++ b/review/stand-ins/harness.mjs
@@ -606,11 +606,18 @@
 /** Runs a case, and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run. */
 export async function runCase(caseFolder, entryZones, play) {
     const hasTrouble = process.env.TROUBLE !== "0";
+    let deployment;
+    // Ends the processes, also stopped ones, however the case ends.
+    process.on("exit", () => deployment?.machines.forEach(({ child }) => child?.kill("SIGKILL")));
+    ["SIGTERM", "SIGINT"].forEach(name => process.on(name, () => process.exit(2)));
+    process.on("uncaughtException", error => {
+        process.stderr.write(`${error.stack}\n`);
+        process.exit(2);
+    });
     const limit = setTimeout(() => {
         process.stderr.write("The case took too long.\n");
         process.exit(2);
     }, 115_000);
-    let deployment;
     let exitCode = 2;
     try {
         deployment = await startDeployment({ caseFolder, entryZones });
@@ -623,7 +630,10 @@
         deployment?.log(`the case could not run: ${error.stack}`);
         process.stderr.write(`${error.stack}\n`);
     }
-    await deployment?.close();
+    await deployment?.close().catch(error => {
+        process.stderr.write(`${error.stack}\n`);
+        exitCode = 2;
+    });
     clearTimeout(limit);
     process.exit(exitCode);
 }
