Reject requests that a stopping entry cannot wait for

Cause: connections were accepted for 0.6 of the grace period and requests served until 0.4 s before its end, but the deadline of a request was not compared with the end of the stop; retries late in a stop neither. Change: before each attempt, a stopping entry checks that the deadline ends before the stop does, or, in the first 2.5 s, that four times the latency objective is left. Otherwise the request is rejected with 503 and Retry-After, as it has not run. Why it works: what is forwarded late ends at its own deadline while the entry still serves; what is rejected can go elsewhere. Test changed: 'A stop waits for the request of a recently accepted connection' sent a request with 1 s left at 350 ms before the end of the stop, which is the fault itself. The stop is now 4 s and the caller connects 70 ms before the entry stops to accept, as before, so that its request may end in time; the checks are the same. The product's own entry waits for all its requests without a bound and is not affected.

--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -14,6 +14,7 @@
 import { estimateLoad, type LoadBalancer, SelectionFailure } from "./load-balancing/load-balancer.js";
 import type { OverloadThrottle } from "./load-balancing/overload-throttle.js";
 import { applyServerNotices } from "./server-notices.js";
+import { canWaitForRequest, type EntryStop } from "./stop-admission.js";
 
 /** Dispatches beyond the route's maximum attempts, allowed because a rejected dispatch does not run the request. */
 const MAXIMUM_EXTRA_DISPATCHES = 2;
@@ -22,6 +23,8 @@
 const MAXIMUM_RETRY_AFTER_MS = 400;
 /** Time over which callers return after a pause of all backend servers, in milliseconds, so that they come one by one. */
 const PAUSE_END_SPREAD_MS = 500;
+/** Time after which callers that a stopping entry has rejected should retry, in milliseconds; others can serve them. */
+const STOPPING_RETRY_MS = 20;
 /** Maximum wait for the first request for an object, as a multiple of the latency objective of the route. */
 const FIRST_REQUEST_WAIT_RATIO = 2;
 /** Remaining time below which another backend server could not respond in time, in milliseconds. */
@@ -59,6 +62,8 @@
     readonly connectionLimit: (service: string) => number;
     readonly retryBudget: (service: string) => RatioBudget;
     readonly overloadThrottle: (service: string) => OverloadThrottle;
+    /** The stop of the entry, once it has begun. */
+    readonly currentStop: () => EntryStop | undefined;
 };
 
 /** How a request ended for its caller; a label of metrics and a field of the log. */
@@ -69,6 +74,8 @@
     Rejected = "refused",
     /** Rejected at once, because many requests to the service time out. */
     Throttled = "throttled",
+    /** Rejected, because the entry stops before the request may end. */
+    Stopping = "stopping",
     NoBackendServer = "no-server",
     Failed = "failed",
     Truncated = "cut-short",
@@ -179,6 +186,20 @@
         state.current?.cancel();
     };
     const remaining = () => endsAt - clock.monotonicMilliseconds();
+    const isCutOffByStop = () => {
+        const stop = dependencies.currentStop();
+        const { latencyObjectiveMilliseconds } = route;
+        const now = clock.monotonicMilliseconds();
+        return stop !== undefined && !canWaitForRequest(stop, { now, endsAt, latencyObjectiveMilliseconds });
+    };
+    const rejectForStop = () => {
+        if (state.possibleRuns > 0) {
+            caller.sendLocalResponse({ status: 502 });
+            return ForwardOutcome.Failed;
+        }
+        caller.sendLocalResponse({ status: 503, retryAfterMilliseconds: STOPPING_RETRY_MS });
+        return ForwardOutcome.Stopping;
+    };
     const reject = (outcome: ForwardOutcome, pauseMilliseconds = 0) => {
         const retryAfterMilliseconds = pauseMilliseconds > 0
             ? pauseMilliseconds + dependencies.random() * PAUSE_END_SPREAD_MS
@@ -256,6 +277,9 @@
             if (state.cancelReason !== undefined || remaining() <= 0) {
                 return respondToCancellation();
             }
+            if (isCutOffByStop()) {
+                return rejectForStop();
+            }
             const selectionRequest = {
                 service,
                 affinityKey: request.affinityKey ?? request.id,
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -381,8 +381,39 @@
 
   # Guards against a process that exits before it has read the first request of an accepted connection.
   Scenario: A stop waits for the request of a recently accepted connection
-    Given an entry that may take 2000 ms to stop
+    Given an entry that may take 4000 ms to stop
     And stoc-1 of stoc responds after 100 ms
-    When a caller connects 1130 ms into the stop of the entry and sends a request to stoc 120 ms later
+    When a caller connects 2330 ms into the stop of the entry and sends a request to stoc 120 ms later
     Then the caller gets 200 with the body and signature of the backend server
     And the entry stopped after the response
+
+  # Guards against orders that are forwarded late in a stop and cut off at its end, so that callers cannot know whether
+  # they have run.
+  Scenario: A stopping entry rejects a request whose deadline is later than the end of the stop
+    Given an entry that may take 2000 ms to stop
+    And orders-1 of orders does not respond
+    When a caller connects 1000 ms into the stop of the entry and sends a request to orders 120 ms later
+    Then the caller gets 503 with the time after which to retry
+    And the backend servers got 0 requests
+
+  # Guards against a request that was forwarded in time, is rejected late in a stop, and is cut off on its second attempt.
+  Scenario: A stopping entry does not retry a request that it cannot wait for
+    Given orders-1 of orders rejects the request after 400 ms
+    And orders-2 of orders rejects the request after 400 ms
+    When a caller sends a request to orders and the entry stops
+    Then the caller gets 503 with the time after which to retry
+    And the backend servers got 1 request
+
+  Scenario Outline: A stopping entry forwards a request if it can wait for the response
+    Given the stop of an entry with 5600 ms for requests
+    Then a request that may take <longest> ms on a route with an objective of <objective> ms is <result> after <time> ms
+
+    Examples:
+      | longest | objective | time | result    |
+      | 2500    | 400       | 3000 | forwarded |
+      | 2500    | 400       | 3200 | rejected  |
+      | 1200    | 200       | 4300 | forwarded |
+      | 10000   | 650       | 2400 | forwarded |
+      | 10000   | 650       | 2600 | rejected  |
+      | 10000   | 1200      | 500  | forwarded |
+      | 10000   | 1200      | 1000 | rejected  |
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -16,6 +16,7 @@
 import { SAMPLE_HEADER_NAMES as NAMES } from "./sample-header-names.js";
 import { parsePauseMilliseconds } from "./server-notices.js";
 import { type Gateway, startGateway } from "./start-gateway.js";
+import { canWaitForRequest, type EntryStop } from "./stop-admission.js";
 
 const HOST = "127.0.0.1";
 const BODY = "x".repeat(2_000);
@@ -63,6 +64,7 @@
 let hasStopped: boolean;
 let rawResponse: string;
 let isRawConnectionClosed: boolean;
+let stop: EntryStop;
 let events: { readonly event: string; readonly [field: string]: unknown }[];
 
 const head = (status: string, id: string, more: readonly string[] = []) =>
@@ -90,6 +92,8 @@
     send();
 };
 const LEAVING_HEADER = `${NAMES.leaving}: 1`;
+const rejectRequest: Behavior = (socket, id) =>
+    void socket.write(head("503 Service Unavailable", id, [`${NAMES.notExecuted}: 1`, "content-length: 0"]));
 const rejectWithoutId: Behavior = socket =>
     void socket.write(`HTTP/1.1 503 Service Unavailable\r\n${NAMES.notExecuted}: 1\r\ncontent-length: 0\r\n\r\n`);
 const askForPause = (seconds: string): Behavior => (socket, id) =>
@@ -129,8 +133,8 @@
     "ends a response without a length": (socket, id) => void socket.end(head("200 OK", id, [SIGNATURE_HEADER]) + BODY),
     "responds with another id": (socket, id) => respond(socket, `${id}-other`),
     "responds without a signature": (socket, id) => void socket.write(head("200 OK", id, [LENGTH_HEADER]) + BODY),
-    "rejects the request": (socket, id) =>
-        void socket.write(head("503 Service Unavailable", id, [`${NAMES.notExecuted}: 1`, "content-length: 0"])),
+    "rejects the request": rejectRequest,
+    "rejects the request after 400 ms": delayed(400, rejectRequest),
     "rejects without an id": rejectWithoutId,
     "responds once and then rejects without an id": (socket, id) =>
         (requestsOf(socket) === 1 ? respond : rejectWithoutId)(socket, id),
@@ -682,6 +686,21 @@
         assert.ok(accepted <= mebibytes, `${accepted.toFixed(1)} MiB were received.`);
     },
 );
+Given("the stop of an entry with {int} ms for requests", (milliseconds: number) => {
+    stop = { startedAt: 1_000, servesUntil: 1_000 + milliseconds };
+});
+Then(
+    /^a request that may take (\d+) ms on a route with an objective of (\d+) ms is (\w+) after (\d+) ms$/,
+    (longest: string, objective: string, result: string, time: string) => {
+        const now = stop.startedAt + Number(time);
+        const canWait = canWaitForRequest(stop, {
+            now,
+            endsAt: now + Number(longest),
+            latencyObjectiveMilliseconds: Number(objective),
+        });
+        assert.equal(canWait ? "forwarded" : "rejected", result);
+    },
+);
 Then("the entry is not ready", () => assert.equal(gateway.isReady(), false));
 Then(
     "the entry stopped after the response",
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -32,8 +32,6 @@
     readonly acceptQueue: AcceptQueue;
     readonly catalog: CatalogView;
     readonly isCatalogComplete: () => boolean;
-    /** True while callers should connect to other entries. */
-    readonly isStopping: () => boolean;
     /** Selects the service of the next request of a route. */
     readonly nextService: (route: NamedRoute) => string;
 };
@@ -56,7 +54,9 @@
     // The time that a request has waited to be read counts towards its deadline.
     const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0);
     const id = String(message.headers[headerNames.requestId] ?? "");
-    const caller = createCallerResponse(response, message.method ?? "GET", id, headerNames, dependencies.isStopping);
+    // Callers should connect to other entries once the stop has begun.
+    const closesConnection = () => dependencies.currentStop() !== undefined;
+    const caller = createCallerResponse(response, message.method ?? "GET", id, headerNames, closesConnection);
     const respond = (status: number, reason: string, retryAfterMilliseconds?: number) => {
         log(EventLevel.Warning, "local response sent", { request: id, status, reason, path: message.url });
         caller.sendLocalResponse({ status, retryAfterMilliseconds });
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -24,6 +24,7 @@
 import { createServiceSplit } from "./load-balancing/service-split.js";
 import { createRetryBudgets } from "./retries/retry-budgets.js";
 import { type ServeDependencies, serveRequest } from "./serve-request.js";
+import type { EntryStop } from "./stop-admission.js";
 
 /** Role of an entry in the handshake with its peers. */
 const ENTRY_ROLE = "gateway-entry";
@@ -106,7 +107,7 @@
     });
     const feedState = createFeedState({ log, counters: metrics, catalog, servers });
     const { entryCount } = feedState;
-    let isStopping = false;
+    let currentStop: EntryStop | undefined;
     let openRequests = 0;
 
     const createEntryReport = (): EntryReport => ({
@@ -117,7 +118,7 @@
         isReady: isReady(),
         cores: options.cores,
     });
-    const isReady = () => feedState.isComplete && !isStopping;
+    const isReady = () => feedState.isComplete && currentStop === undefined;
 
     const controlNames = () => [
         ...new Set([
@@ -201,7 +202,7 @@
         }),
         catalog,
         isCatalogComplete: () => feedState.isComplete,
-        isStopping: () => isStopping,
+        currentStop: () => currentStop,
         nextService,
     };
 
@@ -247,8 +248,8 @@
         isReady,
         stop: async () => {
             const startedAt = clock.monotonicMilliseconds();
-            const endsAt = startedAt + options.stopMilliseconds - STOP_MARGIN_MS;
-            isStopping = true;
+            const servesUntil = startedAt + options.stopMilliseconds - STOP_MARGIN_MS;
+            currentStop = { startedAt, servesUntil };
             log(EventLevel.Info, "entry stopping", { openRequests });
             await feeds.report();
             // Callers that looked up this entry before the report still connect.
@@ -256,7 +257,7 @@
             await clock.sleep(Math.max(0, acceptsUntil - clock.monotonicMilliseconds()));
             server.close();
             // The first requests of recently accepted connections may not have been read yet.
-            while (openRequests + newConnections.size > 0 && clock.monotonicMilliseconds() < endsAt) {
+            while (openRequests + newConnections.size > 0 && clock.monotonicMilliseconds() < servesUntil) {
                 closeUnusedConnections();
                 await clock.sleep(STOP_POLL_INTERVAL_MS);
             }
