Submit evacuation orders only while their callers wait and nothing newer is in force

Cause: these orders have no version, and nothing between the socket and the log asked whether the caller still waited or whether the order had been overtaken; retries went on for 2 s, callers leave after 1 s, and a call to the leader may arrive any time later. Change: after 100 ms, in which the end of an abandoned connection is read, an order is submitted if its connection is open, with the version of the evacuation that the instance has applied; the state machine ignores it if that has changed. If the caller still waits, it is submitted again on the newer version. Why it works: a later order of the same caller that changes the state also changes the version, so an older command is ignored whenever it arrives; what is submitted after that needs a caller that waits.

--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -15,10 +15,27 @@
 /** Command of the replicated log. */
 export type CatalogCommand =
     | { readonly kind: CommandKind.Change; readonly items: readonly Item[] }
-    | { readonly kind: CommandKind.Evacuate; readonly availabilityZone: string; readonly isActive: boolean };
+    | {
+        readonly kind: CommandKind.Evacuate;
+        readonly availabilityZone: string;
+        readonly isActive: boolean;
+        /**
+         * The command takes effect only if the evacuation of the zone has this version, or `NO_VERSION` if it was never
+         * evacuated. Undefined in commands of earlier releases, which always take effect.
+         */
+        readonly expectedVersion?: number;
+    };
+
+/** Version of an item that does not exist; log indexes start at 1. */
+export const NO_VERSION = 0;
 
-/** Result of a command. `error` is undefined when the command was accepted. */
-export type CommandResult = { readonly error: string | undefined };
+/** Result of a command. */
+export type CommandResult = {
+    /** Reason of the rejection, or undefined when the command was accepted. */
+    readonly error: string | undefined;
+    /** True when the command had no effect, because its item has changed since its sender read it. */
+    readonly isSuperseded?: boolean;
+};
 
 /** State machine of the catalog. */
 export type CatalogState = {
@@ -40,6 +57,7 @@
 export const decodeCommand = (payload: Uint8Array): CatalogCommand => decode(payload) as CatalogCommand;
 
 const ACCEPTED: CommandResult = { error: undefined };
+const SUPERSEDED: CommandResult = { error: undefined, isSuperseded: true };
 
 /**
  * Creates an empty state.
@@ -80,22 +98,27 @@
         return ACCEPTED;
     };
 
-    const applyEvacuation = (index: number, availabilityZone: string, isActive: boolean): CommandResult => {
+    const applyEvacuation = (
+        index: number,
+        { availabilityZone, isActive, expectedVersion }: Extract<CatalogCommand, { kind: CommandKind.Evacuate }>,
+    ): CommandResult => {
         const kind = ItemKind.Evacuation;
-        const current = items.get(itemKey(kind, availabilityZone))?.value;
-        const isCurrentlyActive = current?.kind === kind && current.isActive;
-        if (isCurrentlyActive !== isActive) {
-            const value = { kind, isActive } as const;
-            store([{ kind, name: availabilityZone, version: index, value, source: undefined }]);
+        const current = items.get(itemKey(kind, availabilityZone));
+        const isCurrentlyActive = current?.value?.kind === kind && current.value.isActive;
+        if (isCurrentlyActive === isActive) {
+            return ACCEPTED;
+        }
+        if (expectedVersion !== undefined && expectedVersion !== (current?.version ?? NO_VERSION)) {
+            return SUPERSEDED;
         }
+        const value = { kind, isActive } as const;
+        store([{ kind, name: availabilityZone, version: index, value, source: undefined }]);
         return ACCEPTED;
     };
 
     return {
         apply: (index, command) =>
-            command.kind === CommandKind.Change
-                ? applyChange(command.items)
-                : applyEvacuation(index, command.availabilityZone, command.isActive),
+            command.kind === CommandKind.Change ? applyChange(command.items) : applyEvacuation(index, command),
         items: () => [...items.values()],
         find: (kind, name) => items.get(itemKey(kind, name)),
         takeSnapshot: () => encode([...items.values()]),
--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -186,7 +186,8 @@
         }
         const deadline = Math.min(LEADER_REPLY_DEADLINE_MS, deadlineMilliseconds);
         const reply = await options.peers.call(leader, ControlRequestKind.Propose, { command }, deadline);
-        return { error: proposeReplySchema.parse(reply).error };
+        const { error, isSuperseded } = proposeReplySchema.parse(reply);
+        return { error, isSuperseded };
     };
 
     const retryUntil = async <T>(
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -34,6 +34,7 @@
 import { createRegistry } from "../registry/registry.js";
 import { allocateSlowStartQuotas } from "../slow-start/slow-start-quotas.js";
 import { createCatalogGroup } from "./catalog-group.js";
+import { type EvacuationOrder, submitEvacuation } from "./evacuation-orders.js";
 import { createMemberConnectivity } from "./member-connectivity.js";
 import {
     ControlRequestKind,
@@ -101,8 +102,13 @@
      * @throws CatalogUnavailableError when the outcome is unknown at the deadline.
      */
     changeItems(items: readonly Item[], deadlineMilliseconds: number): Promise<string | undefined>;
-    /** Sets whether an availability zone is evacuated. Throws as `changeItems`. */
-    setEvacuation(availabilityZone: string, isActive: boolean, deadlineMilliseconds: number): Promise<void>;
+    /**
+     * Sets whether an availability zone is evacuated, unless the caller has left.
+     *
+     * @param order.isCallerWaiting Returns false once the caller has closed its connection.
+     * @throws CallerLeftError when the caller has left before the order was submitted, otherwise as `changeItems`.
+     */
+    setEvacuation(order: EvacuationOrder, deadlineMilliseconds: number): Promise<void>;
     /**
      * Returns the items that are neither deleted nor evacuations, with all acknowledged changes. Throws as
      * `changeItems`.
@@ -320,9 +326,8 @@
         },
         changeItems: async (items, deadlineMilliseconds) =>
             (await catalog.submit({ kind: CommandKind.Change, items }, deadlineMilliseconds)).error,
-        setEvacuation: async (availabilityZone, isActive, deadlineMilliseconds) => {
-            await catalog.submit({ kind: CommandKind.Evacuate, availabilityZone, isActive }, deadlineMilliseconds);
-        },
+        setEvacuation: (order, deadlineMilliseconds) =>
+            submitEvacuation({ clock, catalog }, order, deadlineMilliseconds),
         readItems: async deadlineMilliseconds => {
             await catalog.catchUp(deadlineMilliseconds);
             return catalog.items().filter(item => item.value !== undefined && item.kind !== ItemKind.Evacuation);
