Keep acknowledged departures in the replicated log

Cause: departures were only in the memory of a majority of the control instances, so after a restart of all of them nothing told the late heartbeat from that of a new backend server. The last 1,000 are kept. Why it works: a committed command outlasts restarts and the loss of the tolerated disks, and the registry takes no announcement of a start that has departed.

--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -1,7 +1,9 @@
 /**
- * Replicated state machine of the catalog. It holds the highest version of each item, deletions included.
+ * Replicated state machine of the catalog. It holds the highest version of each item, deletions included, and the latest
+ * departures of backend servers.
  */
 import { decode, encode } from "cbor-x";
+import { createDepartures, type Departure } from "./departures.js";
 import { type Item, itemKey, ItemKind } from "./items.js";
 
 /** Kinds of commands that the log replicates. */
@@ -10,6 +12,8 @@
     Change = "change",
     /** Sets whether an availability zone is evacuated. The version of the item is the log index of the command. */
     Evacuate = "evacuate",
+    /** Records the departure of a backend server. */
+    Depart = "depart",
 }
 
 /** Command of the replicated log. */
@@ -24,7 +28,8 @@
          * evacuated. Undefined in commands of earlier releases, which always take effect.
          */
         readonly expectedVersion?: number;
-    };
+    }
+    | { readonly kind: CommandKind.Depart; readonly departure: Departure };
 
 /** Version of an item that does not exist; log indexes start at 1. */
 export const NO_VERSION = 0;
@@ -45,9 +50,11 @@
     items(): readonly Item[];
     /** Returns the item with this kind and name, which may be deleted, or undefined if there is none. */
     find(kind: ItemKind, name: string): Item | undefined;
-    /** Encodes all items. */
+    /** Returns the latest departures, the oldest first. */
+    departures(): readonly Departure[];
+    /** Encodes all items and departures. */
     takeSnapshot(): Uint8Array;
-    /** Replaces all items by those of a snapshot. */
+    /** Replaces all items and departures by those of a snapshot. */
     restoreSnapshot(payload: Uint8Array): void;
 };
 
@@ -59,13 +66,24 @@
 const ACCEPTED: CommandResult = { error: undefined };
 const SUPERSEDED: CommandResult = { error: undefined, isSuperseded: true };
 
-/**
- * Creates an empty state.
- *
- * @param onChange Called with the items that a command or a snapshot has changed.
- */
-export function createCatalogState(onChange: (items: readonly Item[]) => void): CatalogState {
+/** Snapshots of earlier releases are a list of the items. */
+type Snapshot = { readonly items: readonly Item[]; readonly departures: readonly Departure[] };
+
+const decodeSnapshot = (payload: Uint8Array): Snapshot => {
+    const snapshot = decode(payload) as Snapshot | readonly Item[];
+    return "items" in snapshot ? snapshot : { items: snapshot, departures: [] };
+};
+
+/** Called with what a command or a snapshot has changed. */
+export type CatalogObserver = {
+    onItems(items: readonly Item[]): void;
+    onDepartures(departures: readonly Departure[]): void;
+};
+
+/** Creates an empty state. */
+export function createCatalogState({ onItems, onDepartures }: CatalogObserver): CatalogState {
     let items = new Map<string, Item>();
+    let departures = createDepartures([]);
 
     /** A lower or equal version is ignored regardless of its content, so the first content of a version is final. */
     const isNewer = (item: Item) => item.version > (items.get(itemKey(item.kind, item.name))?.version ?? -Infinity);
@@ -73,7 +91,7 @@
     const store = (changed: readonly Item[]) => {
         changed.forEach(item => items.set(itemKey(item.kind, item.name), item));
         if (changed.length > 0) {
-            onChange(changed);
+            onItems(changed);
         }
     };
 
@@ -116,16 +134,37 @@
         return ACCEPTED;
     };
 
+    const applyDeparture = (departure: Departure): CommandResult => {
+        if (departures.add(departure)) {
+            onDepartures([departure]);
+        }
+        return ACCEPTED;
+    };
+
     return {
-        apply: (index, command) =>
-            command.kind === CommandKind.Change ? applyChange(command.items) : applyEvacuation(index, command),
+        apply: (index, command) => {
+            switch (command.kind) {
+                case CommandKind.Change:
+                    return applyChange(command.items);
+                case CommandKind.Evacuate:
+                    return applyEvacuation(index, command);
+                case CommandKind.Depart:
+                    return applyDeparture(command.departure);
+            }
+        },
         items: () => [...items.values()],
         find: (kind, name) => items.get(itemKey(kind, name)),
-        takeSnapshot: () => encode([...items.values()]),
+        departures: () => departures.list(),
+        takeSnapshot: () => {
+            const snapshot: Snapshot = { items: [...items.values()], departures: departures.list() };
+            return encode(snapshot);
+        },
         restoreSnapshot: payload => {
-            const restored = decode(payload) as Item[];
-            items = new Map(restored.map(item => [itemKey(item.kind, item.name), item]));
-            onChange(restored);
+            const restored = decodeSnapshot(payload);
+            items = new Map(restored.items.map(item => [itemKey(item.kind, item.name), item]));
+            departures = createDepartures(restored.departures);
+            onItems(restored.items);
+            onDepartures(restored.departures);
         },
     };
 }
--- a/packages/hyssopfront/src/catalog/catalog.feature
+++ b/packages/hyssopfront/src/catalog/catalog.feature
@@ -44,3 +44,22 @@
     And route orders at version 11 routes to stoc with a timeout of 700 ms
     Then there is no route orders
     And availability zone iasi-a is evacuated in the catalog
+
+  # Guards against a departed backend server that is used again because its departure was lost with a snapshot.
+  Scenario: A snapshot contains the latest departure of each backend server
+    When stoc-1, started at 1000, departs
+    And stoc-1, started at 5000, departs
+    And stoc-1, started at 1000, departs
+    And the catalog is restored from its snapshot
+    Then the restored departures are stoc-1, started at 5000
+
+  # Guards against a state that grows with each backend server that has ever departed.
+  Scenario: The latest 1000 departures are kept
+    When stoc-1, started at 1000, departs
+    And 1000 other backend servers depart
+    Then 1000 departures are kept, and that of stoc-1 is not among them
+
+  Scenario: A snapshot of an earlier release is restored
+    When route orders at version 9 routes to stoc with a timeout of 900 ms
+    And the catalog is restored from a snapshot of an earlier release
+    Then route orders has a timeout of 900 ms
--- a/packages/hyssopfront/src/catalog/catalog.steps.ts
+++ b/packages/hyssopfront/src/catalog/catalog.steps.ts
@@ -1,11 +1,22 @@
 import { Given, Then, When } from "@cucumber/cucumber";
+import { encode } from "cbor-x";
 import assert from "node:assert/strict";
-import { type CatalogState, CommandKind, type CommandResult, createCatalogState } from "./catalog-state.js";
+import {
+    type CatalogObserver,
+    type CatalogState,
+    CommandKind,
+    type CommandResult,
+    createCatalogState,
+} from "./catalog-state.js";
+import type { Departure } from "./departures.js";
 import { type Item, ItemKind, type Route } from "./items.js";
 
+const NO_OBSERVER: CatalogObserver = { onItems: () => undefined, onDepartures: () => undefined };
+
 let state: CatalogState;
 let commandResult: CommandResult;
 let index = 0;
+let restoredDepartures: Departure[];
 
 const routeTo = (service: string, timeoutMilliseconds: number): Route => ({
     host: "orders.example",
@@ -50,7 +61,7 @@
     state.items().find(item => item.kind === kind && item.name === name)?.value;
 
 Given("a catalog with service {word} at version {int}", (name: string, version: number) => {
-    state = createCatalogState(() => undefined);
+    state = createCatalogState(NO_OBSERVER);
     submitChange(serviceItem(name, version, true));
 });
 When(
@@ -77,9 +88,30 @@
 });
 When("the catalog is restored from its snapshot", () => {
     const snapshot = state.takeSnapshot();
-    state = createCatalogState(() => undefined);
+    restoredDepartures = [];
+    state = createCatalogState({ ...NO_OBSERVER, onDepartures: departures => restoredDepartures.push(...departures) });
+    state.restoreSnapshot(snapshot);
+});
+When("the catalog is restored from a snapshot of an earlier release", () => {
+    const snapshot = encode(state.items());
+    state = createCatalogState(NO_OBSERVER);
     state.restoreSnapshot(snapshot);
 });
+When("{word}, started at {int}, departs", (id: string, startedAt: number) => {
+    commandResult = state.apply(++index, { kind: CommandKind.Depart, departure: { id, startedAt } });
+});
+When("{int} other backend servers depart", (count: number) => {
+    Array.from({ length: count }, (_, number) => ({ id: `other-${number}`, startedAt: 1 })).forEach(departure => {
+        state.apply(++index, { kind: CommandKind.Depart, departure });
+    });
+});
+Then("the restored departures are {word}, started at {int}", (id: string, startedAt: number) => {
+    assert.deepEqual(restoredDepartures, [{ id, startedAt }]);
+});
+Then("{int} departures are kept, and that of {word} is not among them", (count: number, id: string) => {
+    assert.equal(state.departures().length, count);
+    assert.ok(!state.departures().some(departure => departure.id === id));
+});
 Then("the change was accepted", () => assert.equal(commandResult.error, undefined));
 Then("the change was rejected", () => assert.notEqual(commandResult.error, undefined));
 Then("route {word} has a timeout of {int} ms", (name: string, timeout: number) => {
--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -18,6 +18,7 @@
 } from "@hyssopfront/coordination";
 import {
     type CatalogCommand,
+    type CatalogObserver,
     type CatalogState,
     type CommandResult,
     createCatalogState,
@@ -86,8 +87,8 @@
     /** Voters of a group that is bootstrapped. Empty when the group already exists. */
     readonly initialVoters: readonly string[];
     readonly peers: MemberPeers;
-    /** Called with the items that a command or a snapshot has changed. */
-    readonly onItems: (items: readonly Item[]) => void;
+    /** Called with what a command or a snapshot has changed. */
+    readonly observer: CatalogObserver;
     readonly onStatus: (status: ReplicaStatus) => void;
 };
 
@@ -119,7 +120,7 @@
             isFolderPrivate: true,
             counters,
         });
-        const state = createCatalogState(options.onItems);
+        const state = createCatalogState(options.observer);
         const replica = createReplica({
             groupId: GROUP_ID,
             self,
--- a/packages/hyssopfront/src/gateway-control/control-process.ts
+++ b/packages/hyssopfront/src/gateway-control/control-process.ts
@@ -5,12 +5,13 @@
 import { createSystemClock, NO_COUNTERS } from "@hyssopfront/coordination";
 import { createInterface } from "node:readline";
 import { type Item, ItemKind } from "../catalog/items.js";
-import { NO_EVENT_LOG } from "../event-log/event-log.js";
 import { requiredVoterCount } from "../formation/formation.js";
 import { BackendServerState } from "../registry/backend-record.js";
 import { startGatewayControl } from "./start-gateway-control.js";
 
 const DEADLINE_MS = 2_000;
+/** Start of the backend server that the calls are about, in Unix milliseconds. */
+const STARTED_AT = 1;
 
 type Options = {
     readonly address: string;
@@ -21,12 +22,19 @@
 };
 type Call = { readonly id: number; readonly call: string; readonly argument: unknown };
 
+/** States of the backend servers as last published to entries. */
+const backendStates = new Map<string, string>();
+
 const { seeds, ...options } = JSON.parse(process.argv[2] ?? "{}") as Options;
 const control = await startGatewayControl({
     ...options,
     clock: createSystemClock(),
     counters: NO_COUNTERS,
-    log: NO_EVENT_LOG,
+    log: (_level, event, fields) => {
+        if (event === "backend server changed") {
+            backendStates.set(String(fields?.server), String(fields?.state));
+        }
+    },
     random: Math.random,
     availabilityZone: "z1",
     getRegion: () => "r1",
@@ -73,23 +81,28 @@
     source: {},
 };
 
+const announce = (state: BackendServerState, sequence: number) =>
+    control.receiveAnnouncement({
+        id: "orders-1",
+        service: "orders",
+        address: "10.0.0.1",
+        port: 80,
+        availabilityZone: "z1",
+        slots: 4,
+        state,
+        coldMilliseconds: 0,
+        startedAt: STARTED_AT,
+        sequence,
+    });
+
 const calls: Readonly<Record<string, (argument: unknown) => Promise<unknown>>> = {
     voters: async () => control.voters(),
     changeRoute: async () => await control.changeItems([SERVICE, ROUTE], DEADLINE_MS) ?? "accepted",
     readRoutes: async () => (await control.readItems(DEADLINE_MS)).map(item => item.name),
-    drain: sequence =>
-        control.receiveAnnouncement({
-            id: "orders-1",
-            service: "orders",
-            address: "10.0.0.1",
-            port: 80,
-            availabilityZone: "z1",
-            slots: 4,
-            state: BackendServerState.Draining,
-            coldMilliseconds: 0,
-            startedAt: 1,
-            sequence: Number(sequence),
-        }),
+    announce: sequence => announce(BackendServerState.Ready, Number(sequence)),
+    drain: sequence => announce(BackendServerState.Draining, Number(sequence)),
+    leave: () => control.receiveDeparture("orders-1", STARTED_AT),
+    backendState: async () => backendStates.get("orders-1"),
 };
 
 const sendReply = (fields: object) => void process.stdout.write(`${JSON.stringify(fields)}\n`);
--- a/packages/hyssopfront/src/gateway-control/control.feature
+++ b/packages/hyssopfront/src/gateway-control/control.feature
@@ -36,6 +36,19 @@
     And a backend server announces at instance 1 that it drains
     Then it is not acknowledged
 
+  # Guards against a backend server that has left and is used again: a heartbeat that was sent before its departure arrives
+  # after all control instances have restarted.
+  Scenario: An acknowledged departure outlasts a restart of all instances
+    Given 5 control instances that start for the first time, 3 of them seeds
+    And all instances have the same 5 voters
+    When a backend server announces itself at instance 1 with sequence number 3
+    And the backend server leaves at instance 1
+    Then it is acknowledged
+    When all instances are killed and instances 1 and 2 lose their disks
+    And all instances start again
+    And a backend server announces itself at instance 2 with sequence number 2
+    Then each running instance has the backend server as left
+
   # Guards against marking backend servers as lost while the other side of a partition receives their heartbeats.
   Scenario: Connectivity is incomplete until an unreachable control instance counts as removed
     Given two other control instances, a and b
--- a/packages/hyssopfront/src/gateway-control/control.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/control.steps.ts
@@ -148,6 +148,22 @@
     drainCount += 1;
     wasAcknowledged = await instances.get(number)?.invoke("drain", drainCount);
 });
+When(
+    "a backend server announces itself at instance {int} with sequence number {int}",
+    async (number: number, sequence: number) => {
+        await instances.get(number)?.invoke("announce", sequence);
+    },
+);
+When("the backend server leaves at instance {int}", async (number: number) => {
+    wasAcknowledged = await instances.get(number)?.invoke("leave");
+});
+Then("each running instance has the backend server as left", async () => {
+    let states: readonly unknown[] = [];
+    await waitUntil(async () => {
+        states = await Promise.all([...instances.values()].map(({ invoke }) => invoke("backendState")));
+        return states.every(state => state === "left");
+    }, () => `The states are ${states.join(", ")}.`);
+});
 When("instances 2, 3 and 4 are killed", () => Promise.all([2, 3, 4].map(kill)));
 Then("it is acknowledged", () => assert.equal(wasAcknowledged, true));
 Then("it is not acknowledged", () => assert.equal(wasAcknowledged, false));
--- a/packages/hyssopfront/src/gateway-control/evacuation-orders.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/evacuation-orders.steps.ts
@@ -1,10 +1,17 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { createManualClock, type ManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
-import { type CatalogCommand, type CatalogState, CommandKind, createCatalogState } from "../catalog/catalog-state.js";
+import {
+    type CatalogCommand,
+    type CatalogObserver,
+    type CatalogState,
+    CommandKind,
+    createCatalogState,
+} from "../catalog/catalog-state.js";
 import { ItemKind } from "../catalog/items.js";
 import { CallerLeftError, submitEvacuation } from "./evacuation-orders.js";
 
+const NO_OBSERVER: CatalogObserver = { onItems: () => undefined, onDepartures: () => undefined };
 const ZONE = "iasi-a";
 const DEADLINE_MS = 2_000;
 /** Longer than the pauses of an order. */
@@ -42,7 +49,7 @@
 
 Given("zone iasi-a is evacuated at version {int}", (version: number) => {
     clock = createManualClock(new Date(0));
-    state = createCatalogState(() => undefined);
+    state = createCatalogState(NO_OBSERVER);
     appliedState = state;
     isCallerWaiting = true;
     isDelivered = Promise.resolve();
@@ -50,7 +57,7 @@
     evacuate(true);
 });
 Given("the instance of the order has not applied that evacuation yet", () => {
-    appliedState = createCatalogState(() => undefined);
+    appliedState = createCatalogState(NO_OBSERVER);
 });
 When("the caller of an order to end the evacuation leaves before it is submitted", async () => {
     giveOrder(false);
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -11,6 +11,7 @@
 } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { CommandKind } from "../catalog/catalog-state.js";
+import type { Departure } from "../catalog/departures.js";
 import { type Item, itemKey, ItemKind } from "../catalog/items.js";
 import {
     createConnectedEntries,
@@ -47,6 +48,8 @@
 
 /** Role that a control instance sends in the handshake with its peers. */
 const CONTROL_ROLE = "gateway-control";
+/** Deadline for storing a departure, in milliseconds. The backend server waits 1 s for the acknowledgement. */
+const DEPARTURE_DEADLINE_MS = 800;
 /** Interval of the check for lost backend servers, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 500;
 /** Pause before an instance retries to catch up with the commands acknowledged before its start, in milliseconds. */
@@ -88,11 +91,12 @@
      */
     receiveAnnouncement(announcement: BackendAnnouncement): Promise<boolean>;
     /**
-     * Processes the departure of a backend server.
+     * Processes the departure of a backend server. Once acknowledged, it stays in force when all control instances
+     * restart.
      *
      * @param id Identifier of the backend server.
      * @param startedAt Start time in Unix milliseconds, or `undefined` when the backend server did not send it.
-     * @returns As for `receiveAnnouncement`.
+     * @returns False when it cannot be acknowledged, because too few control instances hold it or it is not stored.
      */
     receiveDeparture(id: string, startedAt: number | undefined): Promise<boolean>;
     /**
@@ -187,13 +191,22 @@
         dataFolder: options.dataFolder,
         initialVoters: options.isFirstStart && seeds().includes(self) ? seeds() : [],
         peers,
-        onItems: items => {
-            homeRegions.invalidate();
-            items.forEach(item => {
-                const { kind, name, version } = item;
-                log(EventLevel.Info, "item changed", { kind, name, version, isDropped: item.value === undefined });
-                feed.set(FeedKey.Item + itemKey(kind, name), () => ({ ...item, source: undefined }), version);
-            });
+        observer: {
+            onItems: items => {
+                homeRegions.invalidate();
+                items.forEach(item => {
+                    const { kind, name, version } = item;
+                    log(EventLevel.Info, "item changed", { kind, name, version, isDropped: item.value === undefined });
+                    feed.set(FeedKey.Item + itemKey(kind, name), () => ({ ...item, source: undefined }), version);
+                });
+            },
+            onDepartures: departures =>
+                departures.forEach(({ id, startedAt }) => {
+                    const record = registry.createDepartureRecord(id, startedAt);
+                    if (record !== undefined) {
+                        registry.merge(record);
+                    }
+                }),
         },
         onStatus: status => {
             const names = status.members.map(member => member.name);
@@ -242,6 +255,18 @@
         return !requiresMajority || await replicated;
     };
 
+    /** Stores a departure in the log of the group, so that it outlasts a restart of all control instances. */
+    const storeDeparture = async (departure: Departure) => {
+        try {
+            await catalog.submit({ kind: CommandKind.Depart, departure }, DEPARTURE_DEADLINE_MS);
+            return true;
+        }
+        catch (error) {
+            log(EventLevel.Warning, "departure not stored", { server: departure.id, ...errorFields(error) });
+            return false;
+        }
+    };
+
     const readFeed = async (payload: unknown, requestSignal: AbortSignal) => {
         const { entry, read } = readFeedRequestSchema.parse(payload);
         const disconnect = entries.connect(entry);
@@ -322,7 +347,14 @@
             ),
         receiveDeparture: async (id, startedAt) => {
             const record = registry.createDepartureRecord(id, startedAt);
-            return record === undefined || mergeAndReplicate(record, true);
+            if (record === undefined) {
+                return true;
+            }
+            const [isReplicated, isStored] = await Promise.all([
+                mergeAndReplicate(record, true),
+                storeDeparture({ id, startedAt: record.startedAt }),
+            ]);
+            return isReplicated && isStored;
         },
         changeItems: async (items, deadlineMilliseconds) =>
             (await catalog.submit({ kind: CommandKind.Change, items }, deadlineMilliseconds)).error,
