Acknowledge drains only as a member of a control group

Cause: an instance that has not joined the group, or whose storage is not open yet, knows no other instance, so a majority of the known ones was itself. Change: an instance that knows no group does not acknowledge, so that the backend server calls the next one. Evidence: 'A new instance that has not joined the group acknowledges neither drains nor departures' failed before the change at the drain and passes with it.

--- a/packages/hyssopfront/src/gateway-control/control.feature
+++ b/packages/hyssopfront/src/gateway-control/control.feature
@@ -36,6 +36,14 @@
     And a backend server announces at instance 1 that it drains
     Then it is not acknowledged
 
+  # Guards against a drain or departure that is acknowledged by a new instance alone, while the others do not know of it.
+  Scenario: A new instance that has not joined the group acknowledges neither drains nor departures
+    Given a control instance 6 that starts with an empty disk and reaches no seed
+    When a backend server announces at instance 6 that it drains
+    Then it is not acknowledged
+    When the backend server leaves at instance 6
+    Then it is not acknowledged
+
   # Guards against a backend server that has left and is used again: a heartbeat that was sent before its departure arrives
   # after all control instances have restarted.
   Scenario: An acknowledged departure outlasts a restart of all instances
--- a/packages/hyssopfront/src/gateway-control/control.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/control.steps.ts
@@ -100,6 +100,11 @@
     instances = new Map();
     await Promise.all(Array.from({ length: count }, (_, index) => start(index + 1, true)));
 });
+Given("a control instance {int} that starts with an empty disk and reaches no seed", async (number: number) => {
+    folder = mkdtempSync(join(tmpdir(), "gateway-control-"));
+    instances = new Map();
+    await start(number, false);
+});
 Then("all instances have the same {int} voters", async (count: number) => {
     let seen: readonly (readonly string[])[] = [];
     await waitUntil(async () => {
--- a/packages/hyssopfront/src/gateway-control/record-replication.ts
+++ b/packages/hyssopfront/src/gateway-control/record-replication.ts
@@ -39,6 +39,8 @@
     readonly registry: Registry;
     /** Names of the other control instances. */
     readonly others: () => readonly string[];
+    /** Returns false while this instance does not know the group that it belongs to. */
+    readonly isMember: () => boolean;
 }): RecordReplication {
     const { clock, log, peers, registry } = options;
     const batch = new Map<string, BackendRecord>();
@@ -49,6 +51,12 @@
     const replicateToMajority = (record: BackendRecord) => {
         const others = options.others();
         const needed = Math.floor((others.length + 1) / 2);
+        if (!options.isMember()) {
+            log(EventLevel.Warning, "record not replicated, as this instance belongs to no group", {
+                server: record.id,
+            });
+            return Promise.resolve(false);
+        }
         if (needed === 0) {
             return Promise.resolve(true);
         }
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -169,7 +169,14 @@
         },
     });
     const others = () => members.filter(name => name !== self);
-    const replication = createRecordReplication({ clock, log, peers, registry, others });
+    const replication = createRecordReplication({
+        clock,
+        log,
+        peers,
+        registry,
+        others,
+        isMember: () => members.length > 0,
+    });
     const entries = createConnectedEntries({
         clock,
         onChange: names => {
