Limit the bytes of a response that belong to no body, and copy buffered bodies

Cause: empty lines, spaces before a value and chunk extensions are skipped by the parser and counted by no limit, so they were read until the deadline; a buffered body was a list of views, each of which keeps the 64 KiB that were read with it. Change: an attempt fails once 256 KiB, and 16 for each byte of the body, are no part of the body; a buffered body is copied. dispatch.ts moves to a folder of its own with its tests.

--- a/packages/hyssopfront/src/gateway/caller-response.ts
+++ b/packages/hyssopfront/src/gateway/caller-response.ts
@@ -4,7 +4,7 @@
 import type { ServerResponse } from "node:http";
 import type { ResponseHead } from "../routing/attempt.js";
 import { selectResponseHeaders } from "../routing/headers.js";
-import type { ResponseSink } from "./dispatch.js";
+import type { ResponseSink } from "./dispatch/dispatch.js";
 import type { HeaderNames } from "./header-names.js";
 
 /** A response that the gateway makes itself. */
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.feature
@@ -0,0 +1,27 @@
+Feature: Responses that a dispatch accepts
+
+  # Guards against a success with an empty or short body, framed as whole, when a backend server stops within a response.
+  Scenario Outline: A response with <framing> that is cut off anywhere is not accepted
+    Given a backend server that responds with <framing> on <connection>
+    When it <cut> after each number of bytes
+    Then no dispatch is completed, and each is failed
+    When it sends the whole response
+    Then the dispatch is completed with the whole body
+
+    Examples:
+      | framing                             | connection          | cut                   |
+      | a length                            | a new connection    | closes the connection |
+      | a length                            | a reused connection | closes the connection |
+      | a length                            | a new connection    | resets the connection |
+      | a length and connection close       | a new connection    | closes the connection |
+      | chunks                              | a new connection    | closes the connection |
+      | chunks                              | a reused connection | closes the connection |
+      | chunks and connection close         | a new connection    | closes the connection |
+      | chunks and connection close         | a new connection    | resets the connection |
+      | chunks behind an informational one  | a new connection    | closes the connection |
+
+  # Guards against a body that keeps all the bytes in memory that a faulty backend server sends between its chunks.
+  Scenario: A collected body keeps no more memory than its own bytes
+    When 2000 views of 1 byte on 65536 bytes each are collected
+    Then the process has got less than 16 MiB of buffers
+    And the body has 2000 bytes
--- /dev/null
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.steps.ts
@@ -0,0 +1,141 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import { createSystemClock } from "@hyssopfront/coordination";
+import assert from "node:assert/strict";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { SAMPLE_BACKEND_RECORD } from "../../registry/sample-backend-record.js";
+import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
+import { SAMPLE_HEADER_NAMES as NAMES } from "../sample-header-names.js";
+import { type BodyBuffer, createBodyBuffer } from "./body-buffer.js";
+import { dispatch, DispatchOutcome, type DispatchResult } from "./dispatch.js";
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+const HOST = "127.0.0.1";
+const REQUEST_ID = "q1";
+const BODY = "0123456789".repeat(5);
+const TIMEOUT_MS = 2_000;
+const CONNECTION_LIMIT = 10;
+const HEAD = `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${REQUEST_ID}\r\n${NAMES.responseSignature}: s1\r\n`;
+const LENGTH = `content-length: ${BODY.length}\r\n\r\n${BODY}`;
+const CHUNK = `19\r\n${BODY.slice(0, 25)}\r\n19\r\n${BODY.slice(25)}\r\n0\r\n\r\n`;
+const CHUNKS = `transfer-encoding: chunked\r\n\r\n${CHUNK}`;
+const RESPONSES: Readonly<Record<string, string>> = {
+    "a length": HEAD + LENGTH,
+    "a length and connection close": `${HEAD}connection: close\r\n${LENGTH}`,
+    "chunks": HEAD + CHUNKS,
+    "chunks and connection close": `${HEAD}connection: close\r\n${CHUNKS}`,
+    "chunks behind an informational one": `HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n${HEAD}${CHUNKS}`,
+};
+
+const clock = createSystemClock();
+let server: Server | undefined;
+let backendServers: BackendServers;
+let backendServer: BackendServer;
+let response: string;
+let isReused: boolean;
+/** How the backend server responds to the next request. */
+let respond: (socket: Socket) => void;
+let results: readonly DispatchResult[];
+let body: BodyBuffer;
+let bufferedBytesBefore: number;
+
+const sendWhole = (socket: Socket) => void socket.write(response);
+const send = () =>
+    dispatch({
+        clock,
+        server: backendServer,
+        request: {
+            id: REQUEST_ID,
+            method: "GET",
+            path: "/",
+            host: "gateway.example",
+            headers: ["host", "gateway.example", NAMES.requestId, REQUEST_ID],
+            affinityKey: undefined,
+            callerTimeoutMilliseconds: undefined,
+            body: undefined,
+        },
+        headerNames: NAMES,
+        connectionLimit: CONNECTION_LIMIT,
+        endsAt: clock.monotonicMilliseconds() + TIMEOUT_MS,
+        onResponseHead: () => undefined,
+        sink: { begin: () => undefined, write: () => true, end: () => undefined },
+    }).result;
+
+After(() => {
+    if (server !== undefined) {
+        backendServers.close();
+        server.close();
+        server = undefined;
+    }
+});
+
+Given(
+    /^a backend server that responds with (.+) on a (new|reused) connection$/,
+    async (framing: string, connection: string) => {
+        response = RESPONSES[framing] as string;
+        isReused = connection === "reused";
+        respond = sendWhole;
+        const listener = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.on("data", () => respond(socket));
+        });
+        server = listener;
+        await new Promise<void>(resolve => listener.listen(0, HOST, resolve));
+        backendServers = createBackendServers({
+            clock,
+            random: () => 0.5,
+            getRegion: () => "r1",
+            onConnect: () => undefined,
+        });
+        const { port } = listener.address() as AddressInfo;
+        backendServers.merge({ ...SAMPLE_BACKEND_RECORD, port });
+        backendServer = backendServers.listUsable("stoc")[0] as BackendServer;
+    },
+);
+When(/^it (closes|resets) the connection after each number of bytes$/, async (end: string) => {
+    const collected: DispatchResult[] = [];
+    for (let length = 0; length < response.length; length += 1) {
+        if (isReused) {
+            respond = sendWhole;
+            assert.equal((await send()).outcome, DispatchOutcome.Completed);
+        }
+        respond = socket => {
+            if (end === "closes") {
+                socket.end(response.slice(0, length));
+            }
+            else {
+                socket.write(response.slice(0, length), () => socket.resetAndDestroy());
+            }
+        };
+        collected.push(await send());
+    }
+    results = collected;
+});
+Then("no dispatch is completed, and each is failed", () => {
+    assert.deepEqual(
+        results.map(({ outcome }, length) => `${length}: ${outcome}`),
+        results.map((_result, length) => `${length}: ${DispatchOutcome.Failed}`),
+    );
+});
+When("it sends the whole response", async () => {
+    respond = sendWhole;
+    results = [await send()];
+});
+Then("the dispatch is completed with the whole body", () => {
+    const [result] = results;
+    assert.deepEqual([result?.outcome, result?.body?.toString()], [DispatchOutcome.Completed, BODY]);
+});
+When("{int} views of 1 byte on {int} bytes each are collected", (count: number, size: number) => {
+    bufferedBytesBefore = process.memoryUsage().arrayBuffers;
+    body = createBodyBuffer();
+    Array.from({ length: count }).forEach(() => body.append(Buffer.allocUnsafeSlow(size).subarray(0, 1)));
+});
+Then("the body has {int} bytes", (length: number) => assert.equal(body.take().length, length));
+Then("the process has got less than {int} MiB of buffers", (mebibytes: number) => {
+    collectGarbage();
+    const growth = (process.memoryUsage().arrayBuffers - bufferedBytesBefore) / 2 ** 20;
+    assert.ok(growth < mebibytes, `${growth.toFixed(1)} MiB were added.`);
+});
--- a/packages/hyssopfront/src/gateway/dispatch.ts
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.ts
@@ -2,11 +2,12 @@
  * Sends a request to one backend server and collects its response.
  */
 import type { Clock } from "@hyssopfront/coordination";
-import { type Attempt, type ResponseHead, type ResponseRules, startAttempt } from "../routing/attempt.js";
-import { FailureReason } from "../routing/messages.js";
-import type { BackendServer } from "./backend-servers.js";
-import type { GatewayRequest } from "./gateway-request.js";
-import type { HeaderNames } from "./header-names.js";
+import { type Attempt, type ResponseHead, type ResponseRules, startAttempt } from "../../routing/attempt.js";
+import { FailureReason } from "../../routing/messages.js";
+import type { BackendServer } from "../backend-servers.js";
+import type { GatewayRequest } from "../gateway-request.js";
+import type { HeaderNames } from "../header-names.js";
+import { createBodyBuffer } from "./body-buffer.js";
 
 /** Largest response that is buffered until it is complete, in bytes; longer ones are streamed to the caller. */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 256 * 1024;
@@ -112,8 +113,7 @@
         };
     }
     const startedAt = clock.monotonicMilliseconds();
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = createBodyBuffer();
     let isStreaming = false;
     let head: ResponseHead | undefined;
     let resolveResult: (result: DispatchResult) => void = () => undefined;
@@ -122,14 +122,14 @@
         resolveResult = resolve;
     });
     server.inFlight += 1;
-    const finish = (outcome: DispatchOutcome, message = "", body?: Buffer) => {
+    const finish = (outcome: DispatchOutcome, message = "", wholeBody?: Buffer) => {
         if (!isEnded) {
             isEnded = true;
             if (head !== undefined) {
                 recordReportedLoad(server, head, headerNames, clock.monotonicMilliseconds());
             }
             server.inFlight -= 1;
-            resolveResult({ outcome, head, body, message });
+            resolveResult({ outcome, head, body: wholeBody, message });
         }
     };
 
@@ -172,16 +172,15 @@
             }
         },
         onData: chunk => {
-            bytes += chunk.length;
-            if (!isStreaming && bytes > MAXIMUM_BUFFERED_RESPONSE_BYTES && head !== undefined) {
+            if (!isStreaming && body.length + chunk.length > MAXIMUM_BUFFERED_RESPONSE_BYTES && head !== undefined) {
                 isStreaming = true;
                 sink.begin(head);
-                sink.write(Buffer.concat(chunks.splice(0)), () => undefined);
+                sink.write(body.take(), () => undefined);
             }
             if (isStreaming) {
                 return sink.write(chunk, () => attempt.resume());
             }
-            chunks.push(chunk);
+            body.append(chunk);
             return true;
         },
         onEnd: () => {
@@ -191,7 +190,7 @@
                 finish(DispatchOutcome.Streamed);
                 return;
             }
-            finish(DispatchOutcome.Completed, "", chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+            finish(DispatchOutcome.Completed, "", body.take());
         },
         onRejected: rejection => {
             head = rejection;
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -8,7 +8,7 @@
 import type { Timers } from "../routing/timers.js";
 import type { BackendServer, BackendServers } from "./backend-servers.js";
 import type { CallerResponse } from "./caller-response.js";
-import { type Dispatch, dispatch, DispatchOutcome, type DispatchResult } from "./dispatch.js";
+import { type Dispatch, dispatch, DispatchOutcome, type DispatchResult } from "./dispatch/dispatch.js";
 import type { GatewayRequest } from "./gateway-request.js";
 import type { HeaderNames } from "./header-names.js";
 import { estimateLoad, type LoadBalancer, SelectionFailure } from "./load-balancing/load-balancer.js";
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -204,6 +204,20 @@
         id => head("500 Oops", id, [SIGNATURE_HEADER, CHUNKED_HEADER]),
         CHUNK,
     ),
+    "sends endless empty lines": sendEndlessly(() => "", "\r\n"),
+    "sends endless spaces before a value": sendEndlessly(() => "HTTP/1.1 200 OK\r\nx-more:", " "),
+    "sends an endless chunk extension": sendEndlessly(
+        id => head("200 OK", id, [SIGNATURE_HEADER, CHUNKED_HEADER]) + "1;more=",
+        "y",
+    ),
+    "sends endless extensions of chunks": sendEndlessly(
+        id => head("200 OK", id, [SIGNATURE_HEADER, CHUNKED_HEADER]),
+        `1;more=${"y".repeat(16_000)}\r\nx\r\n`,
+    ),
+    "sends a rejection with endless extensions": sendEndlessly(
+        id => head("503 Service Unavailable", id, [`${NAMES.notExecuted}: 1`, CHUNKED_HEADER]),
+        `1;more=${"y".repeat(16_000)}\r\nx\r\n`,
+    ),
     "sends an endless rejection": sendEndlessly(
         id => head("503 Service Unavailable", id, [`${NAMES.notExecuted}: 1`, CHUNKED_HEADER]),
         CHUNK,
--- a/packages/hyssopfront/src/routing/attempt.ts
+++ b/packages/hyssopfront/src/routing/attempt.ts
@@ -93,6 +93,10 @@
 const MAXIMUM_INFORMATIONAL_RESPONSES = 16;
 /** Largest body of a rejection, in bytes, that is read in order to reuse the connection. */
 const MAXIMUM_REJECTION_BYTES = 64 * 1024;
+/** Most bytes of a response that are not part of its body. Its headers are limited to a fraction of it. */
+const MAXIMUM_FRAMING_BYTES = 256 * 1024;
+/** Additional framing bytes for each byte of the body; chunks of a single byte need 5. */
+const FRAMING_BYTES_PER_BODY_BYTE = 16;
 
 const isFinal = (status: number) => status >= 200;
 
@@ -127,12 +131,21 @@
     let withheldReason: FailureReason | undefined;
     let wasWritten = false;
     let informationalResponses = 0;
-    let rejectionBytes = 0;
+    let bodyBytes = 0;
+    let bytesReadBefore = 0;
 
+    const discardConnection = () => {
+        connection.onBytesReceived = undefined;
+        connectionHandle.discard();
+    };
+    const releaseConnection = () => {
+        connection.onBytesReceived = undefined;
+        connectionHandle.release();
+    };
     const fail = (reason: FailureReason, message: string) => {
         if (!isEnded) {
             isEnded = true;
-            connectionHandle.discard();
+            discardConnection();
             listener.onFailure({ wasWritten, reason, message });
         }
     };
@@ -143,10 +156,25 @@
 
     const endRejected = (rejection: ResponseHead) => {
         isEnded = true;
-        connectionHandle.discard();
+        discardConnection();
         listener.onRejected(rejection);
     };
 
+    /** Ends a response in which bytes that belong to no body arrive without end, which the parser skips or collects. */
+    const limitFraming = () => {
+        const framingBytes = (connection.socket?.bytesRead ?? 0) - bytesReadBefore - bodyBytes;
+        if (isEnded || framingBytes <= MAXIMUM_FRAMING_BYTES + bodyBytes * FRAMING_BYTES_PER_BODY_BYTE) {
+            return;
+        }
+        const message = "The backend server sends bytes that are no part of a body without end.";
+        if (isRejected && head !== undefined) {
+            endRejected(head);
+            controller?.abort(new Error(message));
+            return;
+        }
+        failInvalidResponse(message);
+    };
+
     const handler: Dispatcher.DispatchHandler = {
         onRequestStart: dispatchController => {
             if (wasWritten) {
@@ -161,6 +189,8 @@
                 return;
             }
             wasWritten = true;
+            bytesReadBefore = connection.socket?.bytesRead ?? 0;
+            connection.onBytesReceived = limitFraming;
         },
         onResponseStart: (dispatchController, status, headers) => {
             if (isEnded) {
@@ -197,9 +227,9 @@
             if (isEnded || chunk.length === 0) {
                 return;
             }
+            bodyBytes += chunk.length;
             if (isRejected && head !== undefined) {
-                rejectionBytes += chunk.length;
-                if (rejectionBytes > MAXIMUM_REJECTION_BYTES) {
+                if (bodyBytes > MAXIMUM_REJECTION_BYTES) {
                     endRejected(head);
                     dispatchController.abort(new Error("The body of the rejection is too long."));
                 }
@@ -219,10 +249,10 @@
             }
             isEnded = true;
             if (closesConnection(head) || !isDelimited(request.method, head)) {
-                connectionHandle.discard();
+                discardConnection();
             }
             else {
-                connectionHandle.release();
+                releaseConnection();
             }
             if (isRejected) {
                 listener.onRejected(head);
@@ -263,7 +293,7 @@
         cancel: () => {
             if (!isEnded) {
                 isEnded = true;
-                connectionHandle.discard();
+                discardConnection();
                 controller?.abort(new Error("The request was cancelled."));
             }
         },
--- a/packages/hyssopfront/src/routing/backend-connection-pool.ts
+++ b/packages/hyssopfront/src/routing/backend-connection-pool.ts
@@ -18,6 +18,10 @@
     isClosed: boolean;
     /** True once the socket was reset. undici treats a reset as the end of a response without a length. */
     isReset: boolean;
+    /** Undefined until the connection is established. */
+    socket: Socket | undefined;
+    /** Called whenever bytes have been received, before they are parsed. */
+    onBytesReceived: (() => void) | undefined;
 };
 
 /** Connection pool of one backend server. */
@@ -71,11 +75,11 @@
  * Sets `isReset` when the socket is reset. Node.js reports a reset that arrives together with the last bytes as an
  * orderly end. In that case the socket no longer has a remote address, which it still has after an orderly end.
  */
-function trackReset(socket: Socket | null, connection: BackendConnection): void {
-    socket?.once("error", () => {
+function trackReset(socket: Socket, connection: BackendConnection): void {
+    socket.once("error", () => {
         connection.isReset = true;
     });
-    socket?.once("end", () => {
+    socket.once("end", () => {
         connection.isReset ||= socket.remoteAddress === undefined;
     });
 }
@@ -113,7 +117,12 @@
             pipelining: 1,
             connect: (connectOptions, callback) =>
                 openSocket(connectOptions, (...args) => {
-                    trackReset(args[1], connection);
+                    const socket = args[1] ?? undefined;
+                    if (socket !== undefined) {
+                        connection.socket = socket;
+                        trackReset(socket, connection);
+                        socket.on("readable", () => connection.onBytesReceived?.());
+                    }
                     callback(...args);
                 }),
             // The deadline of each request bounds both times.
@@ -129,6 +138,8 @@
             lastUsedAt: -Infinity,
             isClosed: false,
             isReset: false,
+            socket: undefined,
+            onBytesReceived: undefined,
         };
         openConnections += 1;
         options.onConnect?.();
