Allocate the memory of a buffered body by its size

Found by reading the change: 4 KiB outside the pool for each response cost more than most bodies need. The first chunk decides now, and small bodies come from the pool.

--- a/packages/hyssopfront/src/catalog/departures.ts
+++ b/packages/hyssopfront/src/catalog/departures.ts
@@ -3,10 +3,7 @@
  * was delayed does not bring a departed backend server back after all control instances have restarted.
  */
 
-/**
- * Most departures that are kept. Later announcements than these are not delayed long enough to fall behind as many
- * departures.
- */
+/** Most departures that are kept. An announcement is not delayed for as long as that many departures take. */
 export const MAXIMUM_DEPARTURES = 1_000;
 
 /** Departure of one start of a backend server. */
--- a/packages/hyssopfront/src/gateway/dispatch/body-buffer.ts
+++ b/packages/hyssopfront/src/gateway/dispatch/body-buffer.ts
@@ -2,8 +2,6 @@
  * Collects the body of a response.
  */
 
-const INITIAL_CAPACITY_BYTES = 4 * 1024;
-
 /** Bytes of a body in memory of their own. */
 export type BodyBuffer = {
     /** Copies the bytes: a chunk is a view of all bytes that were read with it, which it would keep in memory. */
@@ -20,9 +18,7 @@
     return {
         append: chunk => {
             if (length + chunk.length > bytes.length) {
-                const larger = Buffer.allocUnsafeSlow(
-                    Math.max(INITIAL_CAPACITY_BYTES, bytes.length * 2, length + chunk.length),
-                );
+                const larger = Buffer.allocUnsafe(Math.max(bytes.length * 2, length + chunk.length));
                 bytes.copy(larger, 0, 0, length);
                 bytes = larger;
             }
