Clear the watch of received bytes where connections are released, and end long responses in one place

Found by reading the change again: each end of an attempt went through two wrappers that only cleared a field of the connection; the pool, which every release and discard goes through, does that now. The end of a rejection whose body is too long and of one whose framing is too long were the same five lines. The limit on departures is not used outside its file. Behaviour stays.

--- a/packages/hyssopfront/src/catalog/departures.ts
+++ b/packages/hyssopfront/src/catalog/departures.ts
@@ -4,7 +4,7 @@
  */
 
 /** Most departures that are kept. An announcement is not delayed for as long as that many departures take. */
-export const MAXIMUM_DEPARTURES = 1_000;
+const MAXIMUM_DEPARTURES = 1_000;
 
 /** Departure of one start of a backend server. */
 export type Departure = {
--- a/packages/hyssopfront/src/routing/attempt.ts
+++ b/packages/hyssopfront/src/routing/attempt.ts
@@ -134,18 +134,10 @@
     let bodyBytes = 0;
     let bytesReadBefore = 0;
 
-    const discardConnection = () => {
-        connection.onBytesReceived = undefined;
-        connectionHandle.discard();
-    };
-    const releaseConnection = () => {
-        connection.onBytesReceived = undefined;
-        connectionHandle.release();
-    };
     const fail = (reason: FailureReason, message: string) => {
         if (!isEnded) {
             isEnded = true;
-            discardConnection();
+            connectionHandle.discard();
             listener.onFailure({ wasWritten, reason, message });
         }
     };
@@ -156,17 +148,12 @@
 
     const endRejected = (rejection: ResponseHead) => {
         isEnded = true;
-        discardConnection();
+        connectionHandle.discard();
         listener.onRejected(rejection);
     };
 
-    /** Ends a response in which bytes that belong to no body arrive without end, which the parser skips or collects. */
-    const limitFraming = () => {
-        const framingBytes = (connection.socket?.bytesRead ?? 0) - bytesReadBefore - bodyBytes;
-        if (isEnded || framingBytes <= MAXIMUM_FRAMING_BYTES + bodyBytes * FRAMING_BYTES_PER_BODY_BYTE) {
-            return;
-        }
-        const message = "The backend server sends bytes that are no part of a body without end.";
+    /** Ends a response that is too long. A rejection that has been read remains one. */
+    const endTooLong = (message: string) => {
         if (isRejected && head !== undefined) {
             endRejected(head);
             controller?.abort(new Error(message));
@@ -174,6 +161,13 @@
         }
         failInvalidResponse(message);
     };
+    /** Ends a response in which bytes that belong to no body arrive without end, which the parser skips or collects. */
+    const limitFraming = () => {
+        const framingBytes = (connection.socket?.bytesRead ?? 0) - bytesReadBefore - bodyBytes;
+        if (!isEnded && framingBytes > MAXIMUM_FRAMING_BYTES + bodyBytes * FRAMING_BYTES_PER_BODY_BYTE) {
+            endTooLong("The backend server sends bytes that are no part of a body without end.");
+        }
+    };
 
     const handler: Dispatcher.DispatchHandler = {
         onRequestStart: dispatchController => {
@@ -228,10 +222,9 @@
                 return;
             }
             bodyBytes += chunk.length;
-            if (isRejected && head !== undefined) {
+            if (isRejected) {
                 if (bodyBytes > MAXIMUM_REJECTION_BYTES) {
-                    endRejected(head);
-                    dispatchController.abort(new Error("The body of the rejection is too long."));
+                    endTooLong("The body of the rejection is too long.");
                 }
                 return;
             }
@@ -249,10 +242,10 @@
             }
             isEnded = true;
             if (closesConnection(head) || !isDelimited(request.method, head)) {
-                discardConnection();
+                connectionHandle.discard();
             }
             else {
-                releaseConnection();
+                connectionHandle.release();
             }
             if (isRejected) {
                 listener.onRejected(head);
@@ -293,7 +286,7 @@
         cancel: () => {
             if (!isEnded) {
                 isEnded = true;
-                discardConnection();
+                connectionHandle.discard();
                 controller?.abort(new Error("The request was cancelled."));
             }
         },
--- a/packages/hyssopfront/src/routing/backend-connection-pool.ts
+++ b/packages/hyssopfront/src/routing/backend-connection-pool.ts
@@ -20,7 +20,7 @@
     isReset: boolean;
     /** Undefined until the connection is established. */
     socket: Socket | undefined;
-    /** Called whenever bytes have been received, before they are parsed. */
+    /** Called whenever bytes have been received, before they are parsed, until the connection is released or discarded. */
     onBytesReceived: (() => void) | undefined;
 };
 
@@ -99,6 +99,7 @@
     let allowsReuse = true;
 
     const discard = (connection: BackendConnection) => {
+        connection.onBytesReceived = undefined;
         if (!connection.isClosed) {
             connection.isClosed = true;
             openConnections -= 1;
@@ -170,6 +171,7 @@
                 discard(connection);
                 return;
             }
+            connection.onBytesReceived = undefined;
             connection.isReused = true;
             connection.lastUsedAt = clock.monotonicMilliseconds();
             idleConnections.push(connection);
