--- a/packages/hyssopfront/src/gateway/dispatch/dispatch.feature
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.feature
@@ -20,6 +20,12 @@
       | chunks and connection close         | a new connection    | resets the connection |
       | chunks behind an informational one  | a new connection    | closes the connection |
 
+  # Guards against a long response that is taken for bytes without end, while its caller reads more slowly than it arrives.
+  Scenario: A long response is streamed whole to a slow caller
+    Given a backend server that responds with a long body on a new connection
+    When a caller takes 1 ms for each chunk of the response
+    Then the dispatch is streamed with all bytes
+
   # Guards against a body that keeps all the bytes in memory that a faulty backend server sends between its chunks.
   Scenario: A collected body keeps no more memory than its own bytes
     When 2000 views of 1 byte on 65536 bytes each are collected
--- a/packages/hyssopfront/src/gateway/dispatch/dispatch.steps.ts
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.steps.ts
@@ -8,7 +8,7 @@
 import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "../sample-header-names.js";
 import { type BodyBuffer, createBodyBuffer } from "./body-buffer.js";
-import { dispatch, DispatchOutcome, type DispatchResult } from "./dispatch.js";
+import { dispatch, DispatchOutcome, type DispatchResult, type ResponseSink } from "./dispatch.js";
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
@@ -22,11 +22,13 @@
 const LENGTH = `content-length: ${BODY.length}\r\n\r\n${BODY}`;
 const CHUNK = `19\r\n${BODY.slice(0, 25)}\r\n19\r\n${BODY.slice(25)}\r\n0\r\n\r\n`;
 const CHUNKS = `transfer-encoding: chunked\r\n\r\n${CHUNK}`;
+const LONG_BODY_BYTES = 8 * 1024 * 1024;
 const RESPONSES: Readonly<Record<string, string>> = {
     "a length": HEAD + LENGTH,
     "a length and connection close": `${HEAD}connection: close\r\n${LENGTH}`,
     "chunks": HEAD + CHUNKS,
     "chunks and connection close": `${HEAD}connection: close\r\n${CHUNKS}`,
+    "a long body": `${HEAD}content-length: ${LONG_BODY_BYTES}\r\n\r\n${"x".repeat(LONG_BODY_BYTES)}`,
     "chunks behind an informational one": `HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n${HEAD}${CHUNKS}`,
 };
 
@@ -40,10 +42,12 @@
 let respond: (socket: Socket) => void;
 let results: readonly DispatchResult[];
 let body: BodyBuffer;
+let streamedBytes: number;
 let memoryBehindViews: readonly WeakRef<ArrayBuffer>[];
 
 const sendWhole = (socket: Socket) => void socket.write(response);
-const send = () =>
+const TAKE_ALL: ResponseSink = { begin: () => undefined, write: () => true, end: () => undefined };
+const send = (sink = TAKE_ALL) =>
     dispatch({
         clock,
         server: backendServer,
@@ -61,7 +65,7 @@
         connectionLimit: CONNECTION_LIMIT,
         endsAt: clock.monotonicMilliseconds() + TIMEOUT_MS,
         onResponseHead: () => undefined,
-        sink: { begin: () => undefined, write: () => true, end: () => undefined },
+        sink,
     }).result;
 
 After(() => {
@@ -128,6 +132,21 @@
     const [result] = results;
     assert.deepEqual([result?.outcome, result?.body?.toString()], [DispatchOutcome.Completed, BODY]);
 });
+When("a caller takes {int} ms for each chunk of the response", async (milliseconds: number) => {
+    streamedBytes = 0;
+    const sink: ResponseSink = {
+        ...TAKE_ALL,
+        write: (chunk, onWritable) => {
+            streamedBytes += chunk.length;
+            setTimeout(onWritable, milliseconds);
+            return false;
+        },
+    };
+    results = [await send(sink)];
+});
+Then("the dispatch is streamed with all bytes", () => {
+    assert.deepEqual([results[0]?.outcome, streamedBytes], [DispatchOutcome.Streamed, LONG_BODY_BYTES]);
+});
 When("{int} views of 1 byte on {int} bytes each are collected", (count: number, size: number) => {
     body = createBodyBuffer();
     memoryBehindViews = Array.from({ length: count }, () => {
