Tell in one place whether the caller of a request has disconnected

Found by reading the change again: the check of a call's connection was the twin of that of an entry's caller. Both call hasDisconnected. An entry still asks in addition whether the response is written. Behaviour stays; platform (36 scenarios) and the disconnecting caller of gateway.feature pass.

--- a/packages/hyssopfront/src/gateway/caller-response.ts
+++ b/packages/hyssopfront/src/gateway/caller-response.ts
@@ -2,6 +2,7 @@
  * Writes the response to a caller.
  */
 import type { ServerResponse } from "node:http";
+import { hasDisconnected } from "../http/has-disconnected.js";
 import type { ResponseHead } from "../routing/attempt.js";
 import { selectResponseHeaders } from "../routing/headers.js";
 import type { ResponseSink } from "./dispatch/dispatch.js";
@@ -78,7 +79,7 @@
         },
         abort: () => void response.destroy(),
         get isDisconnected() {
-            return (response.destroyed || response.socket?.readableEnded === true) && !response.writableFinished;
+            return hasDisconnected(response) && !response.writableFinished;
         },
         onDisconnect: () => undefined,
     };
