--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -80,6 +80,9 @@
     onDepartures(departures: readonly Departure[]): void;
 };
 
+/** Observer that ignores all changes. */
+export const NO_CATALOG_OBSERVER: CatalogObserver = { onItems: () => undefined, onDepartures: () => undefined };
+
 /** Creates an empty state. */
 export function createCatalogState({ onItems, onDepartures }: CatalogObserver): CatalogState {
     let items = new Map<string, Item>();
--- a/packages/hyssopfront/src/catalog/catalog.steps.ts
+++ b/packages/hyssopfront/src/catalog/catalog.steps.ts
@@ -2,17 +2,15 @@
 import { encode } from "cbor-x";
 import assert from "node:assert/strict";
 import {
-    type CatalogObserver,
     type CatalogState,
     CommandKind,
     type CommandResult,
     createCatalogState,
+    NO_CATALOG_OBSERVER,
 } from "./catalog-state.js";
 import type { Departure } from "./departures.js";
 import { type Item, ItemKind, type Route } from "./items.js";
 
-const NO_OBSERVER: CatalogObserver = { onItems: () => undefined, onDepartures: () => undefined };
-
 let state: CatalogState;
 let commandResult: CommandResult;
 let index = 0;
@@ -61,7 +59,7 @@
     state.items().find(item => item.kind === kind && item.name === name)?.value;
 
 Given("a catalog with service {word} at version {int}", (name: string, version: number) => {
-    state = createCatalogState(NO_OBSERVER);
+    state = createCatalogState(NO_CATALOG_OBSERVER);
     submitChange(serviceItem(name, version, true));
 });
 When(
@@ -89,12 +87,15 @@
 When("the catalog is restored from its snapshot", () => {
     const snapshot = state.takeSnapshot();
     restoredDepartures = [];
-    state = createCatalogState({ ...NO_OBSERVER, onDepartures: departures => restoredDepartures.push(...departures) });
+    state = createCatalogState({
+        ...NO_CATALOG_OBSERVER,
+        onDepartures: departures => restoredDepartures.push(...departures),
+    });
     state.restoreSnapshot(snapshot);
 });
 When("the catalog is restored from a snapshot of an earlier release", () => {
     const snapshot = encode(state.items());
-    state = createCatalogState(NO_OBSERVER);
+    state = createCatalogState(NO_CATALOG_OBSERVER);
     state.restoreSnapshot(snapshot);
 });
 When("{word}, started at {int}, departs", (id: string, startedAt: number) => {
--- a/packages/hyssopfront/src/gateway-control/evacuation-orders.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/evacuation-orders.steps.ts
@@ -3,15 +3,14 @@
 import assert from "node:assert/strict";
 import {
     type CatalogCommand,
-    type CatalogObserver,
     type CatalogState,
     CommandKind,
     createCatalogState,
+    NO_CATALOG_OBSERVER,
 } from "../catalog/catalog-state.js";
 import { ItemKind } from "../catalog/items.js";
 import { CallerLeftError, submitEvacuation } from "./evacuation-orders.js";
 
-const NO_OBSERVER: CatalogObserver = { onItems: () => undefined, onDepartures: () => undefined };
 const ZONE = "iasi-a";
 const DEADLINE_MS = 2_000;
 /** Longer than the pauses of an order. */
@@ -49,7 +48,7 @@
 
 Given("zone iasi-a is evacuated at version {int}", (version: number) => {
     clock = createManualClock(new Date(0));
-    state = createCatalogState(NO_OBSERVER);
+    state = createCatalogState(NO_CATALOG_OBSERVER);
     appliedState = state;
     isCallerWaiting = true;
     isDelivered = Promise.resolve();
@@ -57,7 +56,7 @@
     evacuate(true);
 });
 Given("the instance of the order has not applied that evacuation yet", () => {
-    appliedState = createCatalogState(NO_OBSERVER);
+    appliedState = createCatalogState(NO_CATALOG_OBSERVER);
 });
 When("the caller of an order to end the evacuation leaves before it is submitted", async () => {
     giveOrder(false);
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -68,18 +68,18 @@
     Then the connection to orders-1 is closed within <milliseconds> ms after at most <mebibytes> MiB
 
     Examples:
-      | sends                                 | result | milliseconds | mebibytes |
-      | sends an endless head                 | 502    | 500          | 8         |
-      | sends an endless header               | 502    | 500          | 8         |
-      | sends an endless invalid response     | 502    | 500          | 8         |
-      | sends endless informational responses | 502    | 500          | 8         |
-      | sends an endless unsigned body        | 502    | 500          | 8         |
-      | sends an endless rejection            | 503    | 500          | 8         |
-      | sends endless empty lines             | 502    | 500          | 8         |
-      | sends endless spaces before a value   | 502    | 500          | 8         |
-      | sends an endless chunk extension      | 502    | 500          | 8         |
-      | sends endless extensions of chunks    | 502    | 500          | 8         |
-      | sends a rejection with endless extensions | 503 | 500         | 8         |
+      | sends                                     | result | milliseconds | mebibytes |
+      | sends an endless head                     | 502    | 500          | 8         |
+      | sends an endless header                   | 502    | 500          | 8         |
+      | sends an endless invalid response         | 502    | 500          | 8         |
+      | sends endless informational responses     | 502    | 500          | 8         |
+      | sends an endless unsigned body            | 502    | 500          | 8         |
+      | sends an endless rejection                | 503    | 500          | 8         |
+      | sends endless empty lines                 | 502    | 500          | 8         |
+      | sends endless spaces before a value       | 502    | 500          | 8         |
+      | sends an endless chunk extension          | 502    | 500          | 8         |
+      | sends endless extensions of chunks        | 502    | 500          | 8         |
+      | sends a rejection with endless extensions | 503    | 500          | 8         |
 
   # Guards against an endless response that keeps the caller waiting beyond the timeout of the route.
   Scenario Outline: An endless response is truncated at the timeout of the route
