--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -81,6 +81,8 @@
 export type Gateway = {
     /** True while it can serve callers. */
     isReady(): boolean;
+    /** Number of callers' requests whose responses have not been sent completely. */
+    openRequests(): number;
     /**
      * Drains the entry and closes it: sends callers to other entries and waits for in-flight requests. Resolves within
      * `stopMilliseconds`, even if requests are still in flight.
@@ -246,6 +248,7 @@
 
     return {
         isReady,
+        openRequests: () => openRequests,
         stop: async () => {
             const startedAt = clock.monotonicMilliseconds();
             const servesUntil = startedAt + options.stopMilliseconds - STOP_MARGIN_MS;
