Leave no connection of a caller open when an entry has stopped

Seen: an entry checks at the end of a stop whether its requests have ended. A connection whose response ends after the last call that closes idle connections, and was begun before the stop (so without "Connection: close"), stays open while the entry closes its feeds and until its process exits. What its caller sends then is read, may be forwarded, and ends with the process.

The loop now ends only when no connection is left or the time is over, and idle connections are closed in the same turn as the check.

--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -422,3 +422,11 @@
       | 10000   | 650       | 2600 | rejected  |
       | 10000   | 1200      | 500  | forwarded |
       | 10000   | 1200      | 1000 | rejected  |
+
+  # Guards against requests that are read on a connection that became idle at the end of a stop, and end with the process.
+  Scenario: No connection of a caller is open when the entry has stopped
+    Given an entry that may take 3000 ms to stop
+    And requests to orders may take 5000 ms
+    And orders-1 of orders begins a long response and ends it after 2200 ms
+    When a caller gets the beginning of the response from orders and the entry stops
+    Then the caller gets the whole response, and its connection is closed once the entry has stopped
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -23,6 +23,8 @@
 const STOP_MS = 900;
 const DEADLINE_MS = 1_500;
 const TIMEOUT_MS = 1_000;
+/** Size of a response that entries do not buffer. */
+const LONG_RESPONSE_BYTES = 300_000;
 
 type CallerResponse = { readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: string };
 type FakeBackendServer = {
@@ -64,6 +66,7 @@
 let hasStopped: boolean;
 let rawResponse: string;
 let isRawConnectionClosed: boolean;
+let rawConnection: Socket;
 let stop: EntryStop;
 let events: { readonly event: string; readonly [field: string]: unknown }[];
 
@@ -187,6 +190,11 @@
     "rejects requests and asks for a pause of 20 s": askForPause("20"),
     "is another backend server": (socket, id) =>
         void socket.write(head("421 Misdirected Request", id, ["content-length: 0"])),
+    "begins a long response and ends it after 2200 ms": (socket, id) => {
+        socket.write(head("200 OK", id, [SIGNATURE_HEADER, `content-length: ${LONG_RESPONSE_BYTES}`]));
+        socket.write("x".repeat(LONG_RESPONSE_BYTES - 1));
+        setTimeout(() => socket.write("x"), 2_200);
+    },
     "does not respond": () => undefined,
     "sends an endless head": sendEndlessly(
         id => `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n`,
@@ -828,3 +836,43 @@
         assert.equal(late.length, 0, `${late.length} requests were forwarded late.`);
     },
 );
+
+/** Opens a connection of a caller and collects what it receives. */
+const connectRaw = () => {
+    rawResponse = "";
+    isRawConnectionClosed = false;
+    rawConnection = connect(callerPort, HOST);
+    rawConnection.on("error", () => undefined);
+    rawConnection.on("data", data => rawResponse += data.toString());
+    rawConnection.on("close", () => isRawConnectionClosed = true);
+};
+const createRequest = (service: string, more: readonly string[] = []) => {
+    lastRequestNumber += 1;
+    const method = service === "orders" ? "POST" : "GET";
+    const id = `${NAMES.requestId}: q${lastRequestNumber}`;
+    return [`${method} /${service}/1 HTTP/1.1`, "host: gateway.example", id, ...more, "", ""].join("\r\n");
+};
+const countRawResponses = () => rawResponse.split("HTTP/1.1 200 OK").length - 1;
+
+Given("requests to {word} may take {int} ms", async (service: string, timeoutMilliseconds: number) => {
+    const route = { ...routeTo(service, service === "stoc"), timeoutMilliseconds };
+    publishItem({ kind: ItemKind.Route, name: service, version: 2, value: { kind: ItemKind.Route, route } });
+    await waitForFeed();
+});
+When("a caller gets the beginning of the response from {word} and the entry stops", async (service: string) => {
+    connectRaw();
+    rawConnection.write(createRequest(service));
+    await waitUntil(() => rawResponse !== "");
+    stopPromise = gateway.stop();
+    await stopPromise;
+});
+const assertWholeResponse = () => {
+    const [responseHead = "", body = ""] = rawResponse.split("\r\n\r\n");
+    const length = Number(/content-length: (\d+)/i.exec(responseHead)?.[1]);
+    assert.deepEqual([countRawResponses(), body.length], [1, length], responseHead);
+};
+Then("the caller gets the whole response, and its connection is closed once the entry has stopped", async () => {
+    await clock.sleep(100);
+    assertWholeResponse();
+    assert.ok(isRawConnectionClosed);
+});
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -4,7 +4,6 @@
 import type { Clock, PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { createServer, type Server } from "node:http";
-import type { Socket } from "node:net";
 import type { EntryReport } from "../entry-selection/connected-entries.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { createFeedFollower } from "../feed/follow-feeds.js";
@@ -15,6 +14,7 @@
 import { createTimers } from "../routing/timers.js";
 import { watchAcceptQueue } from "./accept-queue.js";
 import { createBackendServers } from "./backend-servers.js";
+import { trackCallerConnections } from "./caller-connections.js";
 import { createCatalogView, type NamedRoute } from "./catalog-view.js";
 import { measureEventLoopLag } from "./event-loop-lag.js";
 import { createFeedState } from "./feed-state.js";
@@ -38,11 +38,6 @@
 const STOP_MARGIN_MS = 400;
 /** Interval at which a stopping entry checks whether its requests have ended, in milliseconds. */
 const STOP_POLL_INTERVAL_MS = 50;
-/**
- * Age at which a connection without a request counts as unused, in milliseconds; callers send a request as soon as they
- * have connected.
- */
-const UNUSED_CONNECTION_TIMEOUT_MS = 200;
 /** Longest time of a timer of Node.js, in milliseconds; a longer one would fire at once. */
 const MAXIMUM_TIMER_MS = 2 ** 31 - 1;
 /** Share of the connections of a backend server that all entries use together; the rest is left to other clients. */
@@ -110,7 +105,6 @@
     const feedState = createFeedState({ log, counters: metrics, catalog, servers });
     const { entryCount } = feedState;
     let currentStop: EntryStop | undefined;
-    let openRequests = 0;
 
     const createEntryReport = (): EntryReport => ({
         name: options.name,
@@ -208,12 +202,9 @@
         nextService,
     };
 
+    const connections = trackCallerConnections(server, clock);
     const handleRequest = rejectInvalidHeaders(server, (message, response) => {
-        openRequests += 1;
-        newConnections.delete(message.socket);
-        response.once("close", () => {
-            openRequests -= 1;
-        });
+        connections.startRequest(response);
         serveRequest(dependencies, message, response).catch((error: unknown) => {
             log(EventLevel.Error, "request failed with an internal error", {
                 request: String(message.headers[headerNames.requestId] ?? ""),
@@ -222,19 +213,6 @@
             response.destroy();
         });
     });
-    /** Connections that have not sent a request yet, with the monotonic milliseconds at which they were accepted. */
-    const newConnections = new Map<Socket, number>();
-    server.on("connection", (connection: Socket) => {
-        newConnections.set(connection, clock.monotonicMilliseconds());
-        connection.once("close", () => newConnections.delete(connection));
-    });
-    const closeUnusedConnections = () => {
-        server.closeIdleConnections();
-        const acceptedBefore = clock.monotonicMilliseconds() - UNUSED_CONNECTION_TIMEOUT_MS;
-        [...newConnections].filter(([, acceptedAt]) => acceptedAt < acceptedBefore).forEach(([connection]) =>
-            connection.destroy()
-        );
-    };
     server.on("request", handleRequest);
     server.on("checkExpectation", handleRequest);
     const applyLimits = () => {
@@ -248,23 +226,24 @@
 
     return {
         isReady,
-        openRequests: () => openRequests,
+        openRequests: connections.openRequests,
         stop: async () => {
             const startedAt = clock.monotonicMilliseconds();
             const servesUntil = startedAt + options.stopMilliseconds - STOP_MARGIN_MS;
             currentStop = { startedAt, servesUntil };
-            log(EventLevel.Info, "entry stopping", { openRequests });
+            log(EventLevel.Info, "entry stopping", { openRequests: connections.openRequests() });
             await feeds.report();
             // Callers that looked up this entry before the report still connect.
             const acceptsUntil = startedAt + options.stopMilliseconds * ACCEPTING_SHARE;
             await clock.sleep(Math.max(0, acceptsUntil - clock.monotonicMilliseconds()));
             server.close();
-            // The first requests of recently accepted connections may not have been read yet.
-            while (openRequests + newConnections.size > 0 && clock.monotonicMilliseconds() < servesUntil) {
-                closeUnusedConnections();
+            // A request that is read on an open connection after this loop would end with the process.
+            connections.closeUnused();
+            while (connections.count() > 0 && clock.monotonicMilliseconds() < servesUntil) {
                 await clock.sleep(STOP_POLL_INTERVAL_MS);
+                connections.closeUnused();
             }
-            log(EventLevel.Info, "entry stopped", { openRequests });
+            log(EventLevel.Info, "entry stopped", { openRequests: connections.openRequests() });
             await feeds.close();
             timers.close();
             eventLoopLag.close();
