Make the folder of a new log storage durable before it is used

Seen: a storage in a new folder acknowledged entries, and after a loss of power the folder did not exist. The replica came back with an empty log and a new store id, as if its disk had been wiped. Callers saw acknowledged changes gone when this happened to a majority.

Cause: the folder was created with mkdir, and only the folder itself was synced afterwards, never its entry in the parent.

Test first: a file system in memory keeps contents and names apart, and both are durable only after a sync of the file or the folder.

Fix: a folder is created after its parent is durable, and its entry is synced at each open, since the process that created it may have been killed before its sync. A parent that this process may not read is left alone if the folder existed, so that a folder that somebody else has prepared keeps working.

--- a/packages/coordination/src/storage/file-system.ts
+++ b/packages/coordination/src/storage/file-system.ts
@@ -29,6 +29,30 @@
     }
 }
 
+/**
+ * Creates a folder and its missing ancestors; resolves once they are durable. A folder is created only after its parent
+ * is durable. The entry of an existing folder is synced too, since an earlier process may have ended before its sync.
+ */
+export async function createFolder(fileSystem: FileSystem, folder: string): Promise<void> {
+    const parent = dirname(folder);
+    const isExisting = await fileSystem.stat(folder).then(() => true, (error: NodeJS.ErrnoException) => {
+        if (error.code !== "ENOENT") {
+            throw error;
+        }
+        return false;
+    });
+    if (!isExisting) {
+        await createFolder(fileSystem, parent);
+        await fileSystem.mkdir(folder, { recursive: true });
+    }
+    await syncFolder(fileSystem, parent).catch((error: NodeJS.ErrnoException) => {
+        // A parent that this process may not read was not created by it.
+        if (!isExisting || error.code !== "EACCES") {
+            throw error;
+        }
+    });
+}
+
 /** Writes all bytes at a position, with as many writes as it takes. */
 export async function writeAll(handle: fs.FileHandle, bytes: Uint8Array, position: number): Promise<void> {
     let done = 0;
