Sync the data folder when a log storage is opened

Seen: a process was killed between the rename of a file and the sync of its folder. The next process found the new file, reported it as its state at once and answered from it; a loss of power then brought the old file back.

Cause: a visible name was taken for a durable one. Only the process that renames a file syncs the folder.

Test first: each file operation of a write is killed in turn, the next process opens the folder, and what it finds is compared with what is found after a loss of power.

Fix: the folder is synced before anything in it is read, so that all names that are found are durable. The contents of renamed files are durable anyway, since they are synced before the rename.

--- a/packages/coordination/src/storage/open-log-storage.ts
+++ b/packages/coordination/src/storage/open-log-storage.ts
@@ -5,7 +5,7 @@
 import type { Counters } from "../counters/counters.js";
 import { NO_COUNTERS } from "../counters/counters.js";
 import type { FileSystem } from "./file-system.js";
-import { commitTemporaryFile, createFolder, NODE_FILE_SYSTEM, writeTemporaryFile } from "./file-system.js";
+import { commitTemporaryFile, createFolder, NODE_FILE_SYSTEM, syncFolder, writeTemporaryFile } from "./file-system.js";
 import * as files from "./folder-files.js";
 import { lockFolder } from "./folder-lock.js";
 import type { HardState, LogStorage, StoredEntry, StoredSnapshot } from "./log-storage.js";
@@ -57,6 +57,8 @@
     try {
         await createFolder(fileSystem, folder);
         releaseLock = options.isFolderPrivate === true ? NO_LOCK : await lockFolder(fileSystem, folder);
+        // A process that was killed before it had synced the folder leaves names that are visible, but not durable.
+        await syncFolder(fileSystem, folder);
         await files.removeTemporaryFiles(fileSystem, folder);
         const storeId = await files.loadOrCreateIdentity(fileSystem, folder, options.clusterId, options.replicaId);
         const hardState = await files.loadVote(fileSystem, folder);
--- a/packages/coordination/src/storage/power-loss.steps.ts
+++ b/packages/coordination/src/storage/power-loss.steps.ts
@@ -3,7 +3,7 @@
 import type { FileSystem } from "./file-system.js";
 import type { LogStorage, StoredEntry } from "./log-storage.js";
 import { openLogStorage } from "./open-log-storage.js";
-import type { PowerLossDisk } from "./power-loss-file-system.steps.js";
+import type { DecideFate, PowerLossDisk } from "./power-loss-file-system.steps.js";
 import { createPowerLossDisk, createRandom, Fate } from "./power-loss-file-system.steps.js";
 
 const FOLDER = "/var/storage";
@@ -27,6 +27,71 @@
 const appendNext = (storage: LogStorage, count: number) =>
     storage.append(Array.from({ length: count }, (_, at) => entry(storage.lastIndex + 1 + at)));
 
+const snapshot = (index: number, term: number) => ({ index, term, payload: Buffer.from(`state ${index}`) });
+
+/** Writes to a storage that has 9 entries in several segments. */
+const WRITES: Readonly<Record<string, (storage: LogStorage) => Promise<unknown>>> = {
+    "save vote": storage => storage.saveHardState({ term: 7, votedFor: "control-2" }),
+    "save snapshot": storage => storage.saveSnapshot(snapshot(8, 1)),
+    "install snapshot": storage => storage.saveSnapshot(snapshot(12, 2), true),
+};
+
+/** Runs the named write on a new disk until the fate of one of its operations ends it. */
+const runWrite = async (write: string, seed: number, decideFate: DecideFate): Promise<FileSystem> => {
+    disk = createPowerLossDisk(createRandom(seed));
+    if (write === "create storage") {
+        const fileSystem = disk.startProcess(decideFate);
+        await open(fileSystem).then(storage => storage.close(), () => undefined);
+        return fileSystem;
+    }
+    let isArmed = false;
+    const fileSystem = disk.startProcess((operation, path) => isArmed ? decideFate(operation, path) : Fate.Done);
+    const storage = await open(fileSystem);
+    await appendNext(storage, 3);
+    await appendNext(storage, 3);
+    await appendNext(storage, 3);
+    isArmed = true;
+    await WRITES[write]!(storage).catch(() => undefined);
+    isArmed = false;
+    await storage.close();
+    return fileSystem;
+};
+
+/** Everything that a caller relies on once a storage is open. */
+const describe = async (storage: LogStorage) => {
+    const { firstIndex, lastIndex, lastTerm, hardState, storeId } = storage;
+    const entries = firstIndex > lastIndex ? [] : await storage.read(firstIndex, lastIndex + 1);
+    return {
+        storeId,
+        hardState,
+        lastTerm,
+        snapshot: storage.snapshot?.index,
+        entries: entries.map(({ index, payload }) => `${index}: ${Buffer.from(payload).toString()}`),
+    };
+};
+
+/**
+ * Gives each operation of a write the fate in turn, then opens the storage and compares what it finds with what is
+ * found after a loss of power.
+ */
+const checkFoundState = async (write: string, fate: Fate, nextFileSystem: (current: FileSystem) => FileSystem) => {
+    let isFateReached = true;
+    for (let at = 1; isFateReached; at++) {
+        for (let seed = 1; seed <= 10; seed++) {
+            let count = 0;
+            isFateReached = false;
+            const current = await runWrite(write, seed, () => {
+                isFateReached ||= ++count === at;
+                return count === at ? fate : Fate.Done;
+            });
+            const found = await describe(await open(nextFileSystem(current)));
+            disk.losePower(seed % 2 === 0);
+            const kept = await open(startProcess()).then(describe, (error: unknown) => String(error));
+            assert.deepEqual(kept, found, `After operation ${at} of "${write}", seed ${seed}.`);
+        }
+    }
+};
+
 Given("a disk without data folder", () => {
     disk = createPowerLossDisk(createRandom(1));
 });
@@ -39,3 +104,8 @@
 Then("the storage is opened with {int} entries", async (count: number) => {
     assert.equal((await open(startProcess())).lastIndex, count);
 });
+
+Then(
+    "what is found after a kill during any file operation of {string} survives a loss of power",
+    (write: string) => checkFoundState(write, Fate.Killed, startProcess),
+);
