Restore voters whose disks were wiped one after the other

With two empty voters the leader made learners of both before it promoted the first one. Meanwhile the group had three voters, and a change was acknowledged once two disks held it. When the learners take longer to catch up than the 4 s for which the users count them as lost, two further disks may go, and with them an acknowledged change.

The scenario failed before ("3 voters."). The next voter is now replaced only when the one before is a voter again or no longer responds, so that at least three disks hold what five voters have acknowledged.

--- a/packages/coordination/src/consensus/consensus.feature
+++ b/packages/coordination/src/consensus/consensus.feature
@@ -95,6 +95,13 @@
     And the leader crashes 1500 ms later
     Then it is a voter with its new store within 2500 ms
 
+  # Guards against changes that are acknowledged on two disks only, so that the loss of two more disks loses them.
+  Scenario: Two voters whose disks were wiped are restored one after the other
+    Given a group of 5 replicas with seed 35
+    And 20 proposals are acknowledged
+    When the disks of two followers are wiped and they restart
+    Then they are voters with their new stores within 4000 ms, and there are never fewer than 4 voters
+
   Scenario: Voters whose disks were wiped cannot form a new group
     Given a group of 3 replicas with seed 17
     And 5 proposals are acknowledged
--- a/packages/coordination/src/consensus/consensus.steps.ts
+++ b/packages/coordination/src/consensus/consensus.steps.ts
@@ -278,6 +278,27 @@
     await group.until(isVoter, limit, "The wiped replica is a voter");
 });
 
+When("the disks of two followers are wiped and they restart", () =>
+    followers().slice(0, 2).forEach(({ name }) => {
+        group.wipe(name);
+        group.start(name);
+    }));
+
+Then(
+    "they are voters with their new stores within {int} ms, and there are never fewer than {int} voters",
+    async (limit: number, minimum: number) => {
+        const voters = () => group.leader()?.replica!.status().members.filter(member => member.isVoter) ?? [];
+        const areAllVoters = () => {
+            const current = voters();
+            assert.ok(group.leader() === undefined || current.length >= minimum, `${current.length} voters.`);
+            return [...group.nodes.values()].every(({ name, disk }) =>
+                current.some(voter => voter.name === name && voter.storeId === disk.storeId)
+            );
+        };
+        await group.until(areAllVoters, limit, "All replicas are voters", 1);
+    },
+);
+
 When("the disks of both followers are wiped and they restart while the leader is isolated", () => {
     const wiped = followers();
     group.isolate(group.leader()!.name);
--- a/packages/coordination/src/consensus/supervision.ts
+++ b/packages/coordination/src/consensus/supervision.ts
@@ -56,23 +56,27 @@
         return undefined;
     }
     const members = contexts.currentMembers(context);
+    const returning = members.find(member =>
+        member.isReturning && leadership.peers.get(member.name)?.respondingSince !== undefined
+    );
+    // One at a time: fewer voters would acknowledge changes that fewer disks hold.
+    if (returning !== undefined) {
+        const peer = leadership.peers.get(returning.name);
+        const isCaughtUp = peer?.storeId === returning.storeId && (peer?.matchIndex ?? 0) >= context.commitIndex;
+        return isCaughtUp
+            ? changeMembership(context, { kind: MembershipChange.Promote, name: returning.name })
+            : undefined;
+    }
     const wiped = members.find(member => {
-        const peer = leadership.peers.get(member.name);
-        return member.isVoter && peer?.storeId !== undefined && peer.storeId !== member.storeId;
+        const storeId = leadership.peers.get(member.name)?.storeId;
+        return member.isVoter && storeId !== undefined && storeId !== member.storeId;
     });
-    if (wiped !== undefined) {
-        const storeId = leadership.peers.get(wiped.name)?.storeId;
-        const change = { kind: MembershipChange.AddLearner, name: wiped.name, storeId, isReturning: true };
-        return changeMembership(context, change);
+    if (wiped === undefined) {
+        return undefined;
     }
-    const returning = members.find(member => {
-        const peer = leadership.peers.get(member.name);
-        return member.isReturning && peer !== undefined && peer.storeId === member.storeId
-            && peer.matchIndex >= context.commitIndex;
-    });
-    return returning === undefined
-        ? undefined
-        : changeMembership(context, { kind: MembershipChange.Promote, name: returning.name });
+    const storeId = leadership.peers.get(wiped.name)?.storeId;
+    const change = { kind: MembershipChange.AddLearner, name: wiped.name, storeId, isReturning: true };
+    return changeMembership(context, change);
 }
 
 /** Whether all requests to the peer have succeeded for a while; a peer with intermittent failures is not stable. */
