Restore a voter that loses its disk again before it is a voter again

A learner that returns after the loss of its disk and loses it again stayed a learner for good: the leader replaced the stores of voters only, and a learner is promoted only with the store in the membership. The group tolerated one loss less, without a line that says so.

The scenario failed before ("The wiped replica is a voter: not within 4000 ms"). The store of any member is now replaced.

--- a/packages/coordination/src/consensus/consensus.feature
+++ b/packages/coordination/src/consensus/consensus.feature
@@ -102,6 +102,14 @@
     When the disks of two followers are wiped and they restart
     Then they are voters with their new stores within 4000 ms, and there are never fewer than 4 voters
 
+  # Guards against a replica that stays a learner for good, and keeps other voters from being restored.
+  Scenario: A voter whose disk is wiped again before it is a voter again is restored
+    Given a group of 5 replicas with seed 36
+    And 20 proposals are acknowledged
+    When the disk of a follower is wiped and it restarts
+    And its disk is wiped once more as soon as it is a learner
+    Then it is a voter with its new store within 4000 ms
+
   Scenario: Voters whose disks were wiped cannot form a new group
     Given a group of 3 replicas with seed 17
     And 5 proposals are acknowledged
--- a/packages/coordination/src/consensus/consensus.steps.ts
+++ b/packages/coordination/src/consensus/consensus.steps.ts
@@ -240,6 +240,15 @@
     group.start(faulty.name);
 });
 
+When("its disk is wiped once more as soon as it is a learner", async () => {
+    const isLearner = () =>
+        group.leader()?.replica!.status().members.some(member => member.name === faulty.name && !member.isVoter)
+            ?? false;
+    await group.until(isLearner, 4_000, "The wiped replica is a learner", 1);
+    group.wipe(faulty.name);
+    group.start(faulty.name);
+});
+
 let crashedFollower: SimulatedNode;
 
 When("the other follower crashes", () => {
--- a/packages/coordination/src/consensus/supervision.ts
+++ b/packages/coordination/src/consensus/supervision.ts
@@ -6,6 +6,7 @@
 import * as contexts from "./context.js";
 import { becomeFollower, holdsLease, quorumAcknowledgedAt } from "./leadership.js";
 import { changeMembership } from "./membership-changes.js";
+import type { Member } from "./membership.js";
 import { isVoter, MembershipChange } from "./membership.js";
 import type { TransferRequest } from "./messages.js";
 import { ConsensusMessageKind } from "./messages.js";
@@ -38,7 +39,7 @@
         if (preferred !== undefined && time - leadership.lastTransferAt > TRANSFER_RETRY_INTERVAL_MS) {
             await transferLeadership(context, preferred.name);
         }
-        restoring ??= restoreWipedVoter(context, leadership)?.catch(() => undefined).finally(() => {
+        restoring ??= restoreWipedMember(context, leadership)?.catch(() => undefined).finally(() => {
             restoring = undefined;
         });
         const { heartbeatMilliseconds } = context.options;
@@ -47,36 +48,32 @@
 }
 
 /**
- * Makes the next membership change that restores a voter whose disk was wiped: it becomes a learner with its new store
- * and, once it has caught up, a voter again. Returns undefined when there is nothing to do; the supervision retries a
+ * Makes the next membership change that restores a member whose disk was wiped: it becomes a learner with its new store
+ * and, if it was a voter, a voter again once it has caught up. Returns undefined when there is nothing to do; the supervision retries a
  * failed change. There is no waiting period: until it is a voter again, the group tolerates one loss less.
  */
-function restoreWipedVoter(context: ReplicaContext, leadership: Leadership): Promise<void> | undefined {
+function restoreWipedMember(context: ReplicaContext, leadership: Leadership): Promise<void> | undefined {
     if (!context.options.rejoinsWipedVoters || !holdsLease(context)) {
         return undefined;
     }
     const members = contexts.currentMembers(context);
-    const returning = members.find(member =>
-        member.isReturning && leadership.peers.get(member.name)?.respondingSince !== undefined
-    );
+    const storeIdOf = (member: Member) => leadership.peers.get(member.name)?.storeId ?? member.storeId;
     // One at a time: fewer voters would acknowledge changes that fewer disks hold.
-    if (returning !== undefined) {
-        const peer = leadership.peers.get(returning.name);
-        const isCaughtUp = peer?.storeId === returning.storeId && (peer?.matchIndex ?? 0) >= context.commitIndex;
-        return isCaughtUp
-            ? changeMembership(context, { kind: MembershipChange.Promote, name: returning.name })
-            : undefined;
-    }
-    const wiped = members.find(member => {
-        const storeId = leadership.peers.get(member.name)?.storeId;
-        return member.isVoter && storeId !== undefined && storeId !== member.storeId;
-    });
-    if (wiped === undefined) {
+    const next =
+        members.find(member =>
+            member.isReturning && leadership.peers.get(member.name)?.respondingSince !== undefined
+        ) ?? members.find(member => storeIdOf(member) !== member.storeId);
+    if (next === undefined) {
         return undefined;
     }
-    const storeId = leadership.peers.get(wiped.name)?.storeId;
-    const change = { kind: MembershipChange.AddLearner, name: wiped.name, storeId, isReturning: true };
-    return changeMembership(context, change);
+    const { name } = next;
+    const storeId = storeIdOf(next);
+    if (storeId !== next.storeId) {
+        const isReturning = next.isVoter || next.isReturning;
+        return changeMembership(context, { kind: MembershipChange.AddLearner, name, storeId, isReturning });
+    }
+    const isCaughtUp = (leadership.peers.get(name)?.matchIndex ?? 0) >= context.commitIndex;
+    return isCaughtUp ? changeMembership(context, { kind: MembershipChange.Promote, name }) : undefined;
 }
 
 /** Whether all requests to the peer have succeeded for a while; a peer with intermittent failures is not stable. */
