Do not cut off responses that are still being sent when an entry stops

Seen: Node counts a connection as idle once the response has been handed to it, also if most of it has not been sent because the caller reads slowly. closeIdleConnections(), and close() of an HTTP server, which calls it, destroy such connections. A stopping entry called both, so that answered requests ended without a complete response.

The entry now counts the requests in progress of each connection, until their responses have been sent, and closes only connections without any; it stops listening through the server of the net module, which closes no connection.

--- a/packages/hyssopfront/src/gateway/caller-connections.ts
+++ b/packages/hyssopfront/src/gateway/caller-connections.ts
@@ -1,15 +1,26 @@
 /**
- * Tracks the connections of callers, so that a stop can close those without a request in progress.
+ * Tracks the connections of callers, so that a stop can close exactly those without a request in progress.
  */
 import type { Clock } from "@hyssopfront/coordination";
 import type { Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 
 /**
  * Age at which a connection without a request counts as unused, in milliseconds; callers send a request as soon as they
  * have connected.
  */
 const UNUSED_CONNECTION_TIMEOUT_MS = 200;
+/**
+ * Age of the last response at which its connection counts as unused, in milliseconds. A request that was sent before may
+ * be read only now, and closing a connection with unread bytes resets it, which discards the end of the response.
+ */
+const IDLE_CONNECTION_TIMEOUT_MS = 50;
+
+type ConnectionState = {
+    openRequests: number;
+    /** Time from which the connection counts as unused if no request is in progress, in monotonic milliseconds. */
+    unusedFrom: number;
+};
 
 /** The connections of callers. */
 export type CallerConnections = {
@@ -17,7 +28,9 @@
     startRequest(response: ServerResponse): void;
     /** Number of requests that are in progress. */
     openRequests(): number;
-    /** Closes the connections on which no request is in progress, except those that may soon send their first one. */
+    /** Stops accepting connections. Those that are open stay open. */
+    stopAccepting(): void;
+    /** Closes the connections on which no request is in progress, except those on which one may soon be read. */
     closeUnused(): void;
     /** Number of open connections. */
     count(): number;
@@ -25,36 +38,40 @@
 
 /** Tracks the connections of a server from now on. */
 export function trackCallerConnections(server: Server, clock: Clock): CallerConnections {
-    const connections = new Set<Socket>();
-    /** Connections that have not sent a request yet, with the monotonic milliseconds at which they were accepted. */
-    const newConnections = new Map<Socket, number>();
+    const connections = new Map<Socket, ConnectionState>();
     let openRequests = 0;
     server.on("connection", (connection: Socket) => {
-        connections.add(connection);
-        newConnections.set(connection, clock.monotonicMilliseconds());
-        connection.once("close", () => {
-            connections.delete(connection);
-            newConnections.delete(connection);
+        connections.set(connection, {
+            openRequests: 0,
+            unusedFrom: clock.monotonicMilliseconds() + UNUSED_CONNECTION_TIMEOUT_MS,
         });
+        connection.once("close", () => connections.delete(connection));
     });
     return {
         startRequest: response => {
-            openRequests += 1;
-            if (response.socket) {
-                newConnections.delete(response.socket);
-            }
-            response.once("close", () => {
-                openRequests -= 1;
-            });
+            const state = response.socket ? connections.get(response.socket) : undefined;
+            const count = (change: number) => {
+                openRequests += change;
+                if (state !== undefined) {
+                    state.openRequests += change;
+                    state.unusedFrom = clock.monotonicMilliseconds() + IDLE_CONNECTION_TIMEOUT_MS;
+                }
+            };
+            count(1);
+            response.once("close", () => count(-1));
         },
         openRequests: () => openRequests,
+        // The server's own `close` would also close connections whose last response has not been sent completely, because
+        // Node counts them as idle.
+        stopAccepting: () => void NetServer.prototype.close.call(server),
         closeUnused: () => {
-            server.closeIdleConnections();
-            const acceptedBefore = clock.monotonicMilliseconds() - UNUSED_CONNECTION_TIMEOUT_MS;
-            [...newConnections].filter(([, acceptedAt]) => acceptedAt < acceptedBefore).forEach(([connection]) =>
-                connection.destroy()
-            );
+            const now = clock.monotonicMilliseconds();
+            connections.forEach((state, connection) => {
+                if (state.openRequests === 0 && now >= state.unusedFrom) {
+                    connection.destroy();
+                }
+            });
         },
-        count: () => [...connections].filter(connection => !connection.destroyed).length,
+        count: () => [...connections.keys()].filter(connection => !connection.destroyed).length,
     };
 }
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -423,6 +423,13 @@
       | 10000   | 1200      | 500  | forwarded |
       | 10000   | 1200      | 1000 | rejected  |
 
+  # Guards against responses that a stop cuts off because they have been handed to their connection but not sent yet.
+  Scenario: A stop sends all responses to a caller that reads slowly
+    Given an entry that may take 3000 ms to stop
+    And stoc-1 of stoc responds with 250000 bytes
+    When a caller sends requests to stoc until its connection is full and reads the responses 2200 ms into the stop
+    Then it gets all responses with 250000 bytes each
+
   # Guards against requests that are read on a connection that became idle at the end of a stop, and end with the process.
   Scenario: No connection of a caller is open when the entry has stopped
     Given an entry that may take 3000 ms to stop
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -25,6 +25,8 @@
 const TIMEOUT_MS = 1_000;
 /** Size of a response that entries do not buffer. */
 const LONG_RESPONSE_BYTES = 300_000;
+/** Time in which a request on a connection that is not full reaches its backend server, in milliseconds. */
+const FILL_INTERVAL_MS = 100;
 
 type CallerResponse = { readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: string };
 type FakeBackendServer = {
@@ -190,6 +192,8 @@
     "rejects requests and asks for a pause of 20 s": askForPause("20"),
     "is another backend server": (socket, id) =>
         void socket.write(head("421 Misdirected Request", id, ["content-length: 0"])),
+    "responds with 250000 bytes": (socket, id) =>
+        void socket.write(head("200 OK", id, [SIGNATURE_HEADER, "content-length: 250000"]) + "x".repeat(250_000)),
     "begins a long response and ends it after 2200 ms": (socket, id) => {
         socket.write(head("200 OK", id, [SIGNATURE_HEADER, `content-length: ${LONG_RESPONSE_BYTES}`]));
         socket.write("x".repeat(LONG_RESPONSE_BYTES - 1));
@@ -859,6 +863,31 @@
     publishItem({ kind: ItemKind.Route, name: service, version: 2, value: { kind: ItemKind.Route, route } });
     await waitForFeed();
 });
+/** Sends requests until the entry reads no more of them, as its responses fill the buffers of the connection. */
+const fillConnection = async (service: string) => {
+    connectRaw();
+    rawConnection.pause();
+    for (let reached = -1; totalRequests() > reached;) {
+        reached = totalRequests();
+        rawConnection.write(createRequest(service));
+        await clock.sleep(FILL_INTERVAL_MS);
+    }
+};
+When(
+    "a caller sends requests to {word} until its connection is full and reads the responses {int} ms into the stop",
+    async (service: string, milliseconds: number) => {
+        await fillConnection(service);
+        stopPromise = gateway.stop();
+        await clock.sleep(milliseconds);
+        rawConnection.resume();
+        await stopPromise;
+    },
+);
+Then("it gets all responses with {int} bytes each", async (bytes: number) => {
+    await waitUntil(() => isRawConnectionClosed);
+    assert.equal(countRawResponses(), totalRequests());
+    assert.equal(rawResponse.replaceAll(/[^x]/g, "").length, totalRequests() * bytes);
+});
 When("a caller gets the beginning of the response from {word} and the entry stops", async (service: string) => {
     connectRaw();
     rawConnection.write(createRequest(service));
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -236,7 +236,7 @@
             // Callers that looked up this entry before the report still connect.
             const acceptsUntil = startedAt + options.stopMilliseconds * ACCEPTING_SHARE;
             await clock.sleep(Math.max(0, acceptsUntil - clock.monotonicMilliseconds()));
-            server.close();
+            connections.stopAccepting();
             // A request that is read on an open connection after this loop would end with the process.
             connections.closeUnused();
             while (connections.count() > 0 && clock.monotonicMilliseconds() < servesUntil) {
