Test that a change of the limits cuts off no request in progress

Suspected: a lower idle or header timeout, or a lower limit on bodies, ends responses or uploads that are under way. It can't: the limit on bodies is taken at the start of a request, the header timeout ends with the headers, and the idle timeout begins when a response has been sent.

--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -437,3 +437,16 @@
     And orders-1 of orders begins a long response and ends it after 2200 ms
     When a caller gets the beginning of the response from orders and the entry stops
     Then the caller gets the whole response, and its connection is closed once the entry has stopped
+
+  # Guards against requests in progress that end because the operators lower a limit.
+  Scenario Outline: A change of the limits cuts off no request in progress
+    Given requests to orders may take 5000 ms
+    And orders-1 of orders <behavior>
+    When a caller <calls> and after 100 ms all limits are lowered
+    Then the caller gets the whole response
+
+    Examples:
+      | behavior                                           | calls                                       |
+      | begins a long response and ends it after 2200 ms   | sends a request to orders                   |
+      | reads a body of 3000000 bytes and responds         | sends 3000000 bytes to orders within 1500 ms |
+      | reads a body of 900000 bytes and responds          | sends 900000 bytes to orders within 1500 ms |
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -27,6 +27,14 @@
 const LONG_RESPONSE_BYTES = 300_000;
 /** Time in which a request on a connection that is not full reaches its backend server, in milliseconds. */
 const FILL_INTERVAL_MS = 100;
+/** Parts in which a caller sends a body slowly. */
+const BODY_PARTS = 30;
+const LOWERED_LIMITS = {
+    maximumHeaderBytes: 1,
+    maximumBodyBytes: 1,
+    idleTimeoutMilliseconds: 50,
+    headerTimeoutMilliseconds: 50,
+};
 
 type CallerResponse = { readonly status: number; readonly headers: IncomingHttpHeaders; readonly body: string };
 type FakeBackendServer = {
@@ -109,6 +117,16 @@
             "content-length: 0",
         ]),
     );
+/** Bytes and ids of the requests that are being read on each connection. */
+const partialRequests = new WeakMap<Socket, { readonly id: string; readonly start: number }>();
+/** Responds once a request with a body of this length has been read. */
+const respondToBody = (length: number): Behavior => (socket, id) => {
+    const request = partialRequests.get(socket) ?? { id, start: 0 };
+    partialRequests.set(socket, request);
+    if (socket.bytesRead - request.start > length) {
+        respond(socket, request.id);
+    }
+};
 /** Numbers of the requests that arrived on each connection. */
 const requestCounts = new WeakMap<Socket, number>();
 const requestsOf = (socket: Socket) => requestCounts.get(socket) ?? 0;
@@ -199,6 +217,8 @@
         socket.write("x".repeat(LONG_RESPONSE_BYTES - 1));
         setTimeout(() => socket.write("x"), 2_200);
     },
+    "reads a body of 3000000 bytes and responds": respondToBody(3_000_000),
+    "reads a body of 900000 bytes and responds": respondToBody(900_000),
     "does not respond": () => undefined,
     "sends an endless head": sendEndlessly(
         id => `HTTP/1.1 200 OK\r\n${NAMES.requestId}: ${id}\r\n`,
@@ -905,3 +925,28 @@
     assertWholeResponse();
     assert.ok(isRawConnectionClosed);
 });
+When(
+    /^a caller sends (a request|\d+ bytes) to orders(?: within (\d+) ms)? and after (\d+) ms all limits are lowered$/,
+    async (content: string, duration: string | undefined, milliseconds: string) => {
+        const bytes = content === "a request" ? 0 : Number.parseInt(content);
+        connectRaw();
+        rawConnection.write(createRequest("orders", [`content-length: ${bytes}`]));
+        const part = Buffer.alloc(bytes / BODY_PARTS, "y");
+        const sendBody = async () => {
+            for (let count = 0; count < BODY_PARTS; count += 1) {
+                rawConnection.write(part);
+                await clock.sleep(Number(duration ?? 0) / BODY_PARTS);
+            }
+        };
+        const sent = sendBody();
+        await clock.sleep(Number(milliseconds));
+        const kind = ItemKind.Limits;
+        publishItem({ kind, name: "", version: 2, value: { kind, limits: LOWERED_LIMITS } });
+        await sent;
+    },
+);
+Then("the caller gets the whole response", async () => {
+    await waitUntil(() => countRawResponses() > 0);
+    await clock.sleep(2_300);
+    assertWholeResponse();
+});
