Sync the last log segment when a log storage is opened

Seen: a process was killed between the write of a batch and its datasync. The next process found the records, reported them in lastIndex, and the replica counted them as durable at once: a follower acknowledged them, a leader counted its own. A loss of power then removed them. With the disks of two other voters lost at that moment, an acknowledged change is gone. Worse, a write that followed made the log look corrupt when the earlier batch was lost and the later one was kept, and the replica refused to open for good, which costs the group one more disk. A truncation was undone in the same way.

Cause: every valid record of the last segment was taken for durable, and nothing synced what had been found. The rule that a write begins only after all earlier bytes have been synced did not hold across a kill.

Fix: opening truncates the last segment to its valid records and syncs it in every case. Earlier segments need no sync: a segment is created only after the one before has been synced.

--- a/packages/coordination/src/storage/power-loss.feature
+++ b/packages/coordination/src/storage/power-loss.feature
@@ -16,3 +16,22 @@
       | save vote         |
       | save snapshot     |
       | install snapshot  |
+
+  # Guards against written entries that a restarted process acknowledges before they are durable.
+  Scenario Outline: Entries found after a kill are kept
+    Then what is found after a kill during any file operation of "<write>" survives a loss of power
+
+    Examples:
+      | write                |
+      | append               |
+      | append a new segment |
+      | truncate             |
+
+  # Guards against a log that is taken for corrupt, since a durable write follows one that was never synced.
+  Scenario Outline: A storage that was killed during "<write>" and again during an append is opened after a loss of power
+    Then after a kill during any file operation of "<write>" and another during an append, what was found is kept
+
+    Examples:
+      | write                |
+      | append               |
+      | append a new segment |
--- a/packages/coordination/src/storage/power-loss.steps.ts
+++ b/packages/coordination/src/storage/power-loss.steps.ts
@@ -31,6 +31,12 @@
 
 /** Writes to a storage that has 9 entries in several segments. */
 const WRITES: Readonly<Record<string, (storage: LogStorage) => Promise<unknown>>> = {
+    append: storage => appendNext(storage, 3),
+    "append a new segment": async storage => {
+        await appendNext(storage, 3);
+        await appendNext(storage, 3);
+    },
+    truncate: storage => storage.truncateFrom(5),
     "save vote": storage => storage.saveHardState({ term: 7, votedFor: "control-2" }),
     "save snapshot": storage => storage.saveSnapshot(snapshot(8, 1)),
     "install snapshot": storage => storage.saveSnapshot(snapshot(12, 2), true),
@@ -109,3 +115,31 @@
     "what is found after a kill during any file operation of {string} survives a loss of power",
     (write: string) => checkFoundState(write, Fate.Killed, startProcess),
 );
+
+Then(
+    "after a kill during any file operation of {string} and another during an append, what was found is kept",
+    async (write: string) => {
+        let isKillReached = true;
+        for (let at = 1; isKillReached; at++) {
+            for (let seed = 1; seed <= 100; seed++) {
+                let count = 0;
+                isKillReached = false;
+                await runWrite(write, seed, () => {
+                    isKillReached ||= ++count === at;
+                    return count === at ? Fate.Killed : Fate.Done;
+                });
+                let isAppending = false;
+                const storage = await open(
+                    disk.startProcess(operation => isAppending && operation === "datasync" ? Fate.Killed : Fate.Done),
+                );
+                const found = await describe(storage);
+                isAppending = true;
+                await appendNext(storage, 3).catch(() => undefined);
+                disk.losePower();
+                const kept = await open(startProcess()).then(describe, (error: unknown) => String(error));
+                assert.ok(typeof kept !== "string", `After operation ${at} of "${write}", seed ${seed}: ${kept}`);
+                assert.deepEqual(kept.entries.slice(0, found.entries.length), found.entries);
+            }
+        }
+    },
+);
--- a/packages/coordination/src/storage/segment.ts
+++ b/packages/coordination/src/storage/segment.ts
@@ -68,7 +68,8 @@
  * Opens an existing segment and verifies each record.
  *
  * @param seed Checksum seed of the store.
- * @param isLast Whether this is the last segment, which may end in an incomplete write; such a write is truncated.
+ * @param isLast Whether this is the last segment, which may end in an unsynced write. An incomplete write is truncated
+ * and a complete one synced, so that all records are durable.
  * @param onEntry Called with the index and term of each record.
  * @returns The segment; undefined when it is the last one and has no complete header, in which case it is deleted.
  * @throws StorageError for corruption that an incomplete write cannot explain.
@@ -117,7 +118,8 @@
         size: bytes.length,
         pendingReads: new Set<Promise<unknown>>(),
     };
-    if (offset < bytes.length) {
+    if (isLast) {
+        // Also syncs a complete write that a killed process had not synced.
         await truncateFile(segment, offset).catch(async (error: unknown) => {
             await handle.close();
             throw error;
