Repeat the last write to the log when a log storage is opened

Seen: a datasync of the log failed, the storage was opened again in the same process, as a control instance does 500 ms after a disk failure, and the records were found, synced and reported as durable. They were not on the disk: Linux reports a failed write once and then takes the pages for clean, so that the next sync succeeds without writing them. A loss of power removed entries that the replica had acknowledged.

Test first: each file operation of a write fails in turn, and a failed sync drops the data of its file for later syncs.

Fix: opening writes the last batch again, or the header of a segment without records, and then syncs. Nothing else can be undurable, because a write begins only after all earlier bytes have been synced. The write is in place with the same bytes, so it cannot damage durable records. Where even that needs space on a full disk, opening fails and is retried by its callers. Other files need no repetition: they are renamed only after a successful sync.

The scenario "A read during a write returns the entries that are still being written" blocked all writes of the reopened storage, those of opening too, and hung. It now blocks them as soon as the storage is open; the read during the blocked append is checked as before.

--- a/packages/coordination/src/storage/blocked-writes.steps.ts
+++ b/packages/coordination/src/storage/blocked-writes.steps.ts
@@ -10,6 +10,7 @@
 
 let folder: string | undefined;
 let blockedStorage: LogStorage;
+let writesReleased = Promise.resolve();
 let releaseWrites: () => void;
 let entriesRead: readonly StoredEntry[];
 
@@ -22,11 +23,15 @@
     }
 });
 
-/** Creates a file system whose writes wait until `releaseWrites` is called. */
-const createBlockedFileSystem = (): FileSystem => {
-    const writesReleased = new Promise<void>(resolve => {
+/** Makes all later writes wait until `releaseWrites` is called. */
+const blockLaterWrites = () => {
+    writesReleased = new Promise(resolve => {
         releaseWrites = resolve;
     });
+};
+
+/** Creates a file system whose writes wait while they are blocked. */
+const createBlockedFileSystem = (): FileSystem => {
     const blockWrites = (handle: FileHandle): FileHandle =>
         new Proxy(handle, {
             get: (target, name) => {
@@ -52,6 +57,8 @@
     await storage.append(Array.from({ length: count }, (_, at) => entry(at + 1)));
     await storage.close();
     blockedStorage = await openLogStorage({ ...options(), fileSystem: createBlockedFileSystem() });
+    // Opening writes too, so that the writes are blocked only now.
+    blockLaterWrites();
 });
 
 When(
--- a/packages/coordination/src/storage/power-loss.feature
+++ b/packages/coordination/src/storage/power-loss.feature
@@ -35,3 +35,17 @@
       | write                |
       | append               |
       | append a new segment |
+
+  # Guards against entries that a disk failed to write and that a reopened storage acknowledges after a later sync.
+  Scenario Outline: Entries found after a disk failure are kept
+    Then what is found after a disk failure in any file operation of "<write>" survives a loss of power
+
+    Examples:
+      | write                |
+      | create storage       |
+      | append               |
+      | append a new segment |
+      | truncate             |
+      | save vote            |
+      | save snapshot        |
+      | install snapshot     |
--- a/packages/coordination/src/storage/power-loss.steps.ts
+++ b/packages/coordination/src/storage/power-loss.steps.ts
@@ -45,13 +45,13 @@
 /** Runs the named write on a new disk until the fate of one of its operations ends it. */
 const runWrite = async (write: string, seed: number, decideFate: DecideFate): Promise<FileSystem> => {
     disk = createPowerLossDisk(createRandom(seed));
-    if (write === "create storage") {
-        const fileSystem = disk.startProcess(decideFate);
+    let isArmed = write === "create storage";
+    const fileSystem = disk.startProcess((operation, path) => isArmed ? decideFate(operation, path) : Fate.Done);
+    if (isArmed) {
         await open(fileSystem).then(storage => storage.close(), () => undefined);
+        isArmed = false;
         return fileSystem;
     }
-    let isArmed = false;
-    const fileSystem = disk.startProcess((operation, path) => isArmed ? decideFate(operation, path) : Fate.Done);
     const storage = await open(fileSystem);
     await appendNext(storage, 3);
     await appendNext(storage, 3);
@@ -143,3 +143,8 @@
         }
     },
 );
+
+Then(
+    "what is found after a disk failure in any file operation of {string} survives a loss of power",
+    (write: string) => checkFoundState(write, Fate.Failed, current => current),
+);
--- a/packages/coordination/src/storage/segment.ts
+++ b/packages/coordination/src/storage/segment.ts
@@ -69,7 +69,7 @@
  *
  * @param seed Checksum seed of the store.
  * @param isLast Whether this is the last segment, which may end in an unsynced write. An incomplete write is truncated
- * and a complete one synced, so that all records are durable.
+ * and a complete one repeated, so that all records are durable.
  * @param onEntry Called with the index and term of each record.
  * @returns The segment; undefined when it is the last one and has no complete header, in which case it is deleted.
  * @throws StorageError for corruption that an incomplete write cannot explain.
@@ -94,6 +94,7 @@
     }
     const offsets: number[] = [];
     let offset = record.SEGMENT_HEADER_BYTES;
+    let lastBatchStart = 0;
     while (offset < bytes.length) {
         const decoded = record.decodeRecord(bytes, offset, seed);
         if (decoded === undefined) {
@@ -105,6 +106,7 @@
         onEntry(decoded.index, decoded.term);
         offsets.push(offset);
         offset = decoded.end;
+        lastBatchStart = decoded.batchStart;
     }
     if (offset < bytes.length && (!isLast || record.wasDurable(bytes, offset, seed))) {
         throw corruptionError(StorageStep.Open, path, `The log record at byte ${offset} is damaged.`);
@@ -119,8 +121,7 @@
         pendingReads: new Set<Promise<unknown>>(),
     };
     if (isLast) {
-        // Also syncs a complete write that a killed process had not synced.
-        await truncateFile(segment, offset).catch(async (error: unknown) => {
+        await makeDurable(segment, bytes.subarray(0, offset), lastBatchStart).catch(async (error: unknown) => {
             await handle.close();
             throw error;
         });
@@ -128,6 +129,17 @@
     return segment;
 }
 
+/**
+ * Truncates the segment to its valid content and repeats the last write, which is the only one that may not be durable.
+ * A sync alone is not enough: the kernel takes pages for clean after it has failed to write them.
+ */
+async function makeDurable(segment: Segment, content: Buffer, lastBatchStart: number): Promise<void> {
+    segment.size = content.length;
+    await segment.handle.truncate(content.length);
+    await writeAll(segment.handle, content.subarray(lastBatchStart), lastBatchStart);
+    await segment.handle.sync();
+}
+
 /** Appends entries to the segment in one write. The caller calls fsync. */
 export async function writeEntries(segment: Segment, entries: readonly StoredEntry[], seed: number): Promise<void> {
     const batchStart = segment.size;
