--- a/packages/coordination/src/storage/power-loss.steps.ts
+++ b/packages/coordination/src/storage/power-loss.steps.ts
@@ -5,10 +5,13 @@
 import { openLogStorage } from "./open-log-storage.js";
 import type { DecideFate, PowerLossDisk } from "./power-loss-file-system.steps.js";
 import { createPowerLossDisk, createRandom, Fate } from "./power-loss-file-system.steps.js";
+import { runRandomHistory } from "./random-histories.steps.js";
 
 const FOLDER = "/var/storage";
 
 let disk: PowerLossDisk;
+let closing: LogStorage;
+let snapshotOperations: string[];
 
 const open = (fileSystem: FileSystem): Promise<LogStorage> =>
     openLogStorage({
@@ -31,6 +34,12 @@
 
 /** Writes to a storage that has 9 entries in several segments. */
 const WRITES: Readonly<Record<string, (storage: LogStorage) => Promise<unknown>>> = {
+    append: storage => appendNext(storage, 3),
+    "append a new segment": async storage => {
+        await appendNext(storage, 3);
+        await appendNext(storage, 3);
+    },
+    truncate: storage => storage.truncateFrom(5),
     "save vote": storage => storage.saveHardState({ term: 7, votedFor: "control-2" }),
     "save snapshot": storage => storage.saveSnapshot(snapshot(8, 1)),
     "install snapshot": storage => storage.saveSnapshot(snapshot(12, 2), true),
@@ -39,13 +48,13 @@
 /** Runs the named write on a new disk until the fate of one of its operations ends it. */
 const runWrite = async (write: string, seed: number, decideFate: DecideFate): Promise<FileSystem> => {
     disk = createPowerLossDisk(createRandom(seed));
-    if (write === "create storage") {
-        const fileSystem = disk.startProcess(decideFate);
+    let isArmed = write === "create storage";
+    const fileSystem = disk.startProcess((operation, path) => isArmed ? decideFate(operation, path) : Fate.Done);
+    if (isArmed) {
         await open(fileSystem).then(storage => storage.close(), () => undefined);
+        isArmed = false;
         return fileSystem;
     }
-    let isArmed = false;
-    const fileSystem = disk.startProcess((operation, path) => isArmed ? decideFate(operation, path) : Fate.Done);
     const storage = await open(fileSystem);
     await appendNext(storage, 3);
     await appendNext(storage, 3);
@@ -109,3 +118,82 @@
     "what is found after a kill during any file operation of {string} survives a loss of power",
     (write: string) => checkFoundState(write, Fate.Killed, startProcess),
 );
+
+Then(
+    "after a kill during any file operation of {string} and another during an append, what was found is kept",
+    async (write: string) => {
+        let isKillReached = true;
+        for (let at = 1; isKillReached; at++) {
+            for (let seed = 1; seed <= 100; seed++) {
+                let count = 0;
+                isKillReached = false;
+                await runWrite(write, seed, () => {
+                    isKillReached ||= ++count === at;
+                    return count === at ? Fate.Killed : Fate.Done;
+                });
+                let isAppending = false;
+                const storage = await open(
+                    disk.startProcess(operation => isAppending && operation === "datasync" ? Fate.Killed : Fate.Done),
+                );
+                const found = await describe(storage);
+                isAppending = true;
+                await appendNext(storage, 3).catch(() => undefined);
+                disk.losePower();
+                const kept = await open(startProcess()).then(describe, (error: unknown) => String(error));
+                assert.ok(typeof kept !== "string", `After operation ${at} of "${write}", seed ${seed}: ${kept}`);
+                assert.deepEqual(kept.entries.slice(0, found.entries.length), found.entries);
+            }
+        }
+    },
+);
+
+Then(
+    "what is found after a disk failure in any file operation of {string} survives a loss of power",
+    (write: string) => checkFoundState(write, Fate.Failed, current => current),
+);
+
+Then(
+    "{int} random histories from seed {int} lose nothing that was acknowledged or found by an opened storage",
+    async (count: number, firstSeed: number) => {
+        for (let seed = firstSeed; seed < firstSeed + count; seed++) {
+            await runRandomHistory(seed).catch((error: unknown) => {
+                throw new Error(`The history with seed ${seed} failed: ${String(error)}`, { cause: error });
+            });
+        }
+    },
+);
+
+/** Passes turns of the event loop. */
+const pass = async (turns: number) => {
+    for (let turn = 0; turn < turns; turn++) {
+        await new Promise(resolve => setImmediate(resolve));
+    }
+};
+
+Given("a storage whose snapshot is being written", async () => {
+    disk = createPowerLossDisk(createRandom(1));
+    snapshotOperations = [];
+    const fileSystem = disk.startProcess((operation, path) => {
+        if (path.includes("snapshot")) {
+            snapshotOperations.push(operation);
+        }
+        return Fate.Done;
+    });
+    closing = await open({
+        ...fileSystem,
+        open: async (...values) => {
+            await pass(values[1] === "w" ? 10 : 0);
+            return fileSystem.open(...values);
+        },
+    });
+    await appendNext(closing, 3);
+    closing.saveSnapshot(snapshot(3, 1)).catch(() => undefined);
+});
+
+Then("closing the storage waits until the snapshot has been written", async () => {
+    await closing.close();
+    const countAtClose = snapshotOperations.length;
+    await pass(50);
+    assert.ok(countAtClose > 0);
+    assert.deepEqual(snapshotOperations.slice(countAtClose), []);
+});
