--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -7,7 +7,9 @@
     type ConsensusReply,
     type Counters,
     createReplica,
+    type FileSystem,
     type LogStorage,
+    NODE_FILE_SYSTEM,
     NotLeaderError,
     openLogStorage,
     parseConsensusReply,
@@ -84,6 +86,12 @@
     readonly self: string;
     readonly clusterId: string;
     readonly dataFolder: string;
+    /** File system to use, which tests replace by one that fails. Default: the file system of Node.js. */
+    readonly fileSystem?: FileSystem;
+    /** Size in bytes from which the log continues in a new segment. Default: that of the log storage. */
+    readonly segmentBytes?: number;
+    /** Number of entries after which the log is compacted into a snapshot. Default: that of the replica. */
+    readonly snapshotEveryEntries?: number;
     /** Voters of a group that is bootstrapped. Empty when the group already exists. */
     readonly initialVoters: readonly string[];
     readonly peers: MemberPeers;
@@ -96,7 +104,7 @@
 
 /** Creates the group without starting it. */
 export function createCatalogGroup(options: CatalogGroupOptions): CatalogGroup {
-    const { clock, counters, log, self } = options;
+    const { clock, counters, log, self, fileSystem = NODE_FILE_SYSTEM } = options;
     let open: OpenGroup | undefined;
 
     const logStatus = (() => {
@@ -112,12 +120,14 @@
     })();
 
     const openGroup = async (reportFailure: (error: Error) => void): Promise<OpenGroup> => {
-        const initialVoters = await loadOrStoreInitialVoters(options.dataFolder, options.initialVoters);
+        const initialVoters = await loadOrStoreInitialVoters(fileSystem, options.dataFolder, options.initialVoters);
         const storage = await openLogStorage({
             folder: options.dataFolder,
             clusterId: options.clusterId,
             replicaId: self,
             isFolderPrivate: true,
+            fileSystem,
+            segmentBytes: options.segmentBytes,
             counters,
         });
         const state = createCatalogState(options.observer);
@@ -128,6 +138,7 @@
             random: options.random,
             storage,
             counters,
+            snapshotEveryEntries: options.snapshotEveryEntries,
             initialVoters: initialVoters.map(name => ({ name })),
             call: async (peer, message, deadlineMilliseconds) =>
                 parseConsensusReply(
--- /dev/null
+++ b/packages/hyssopfront/src/gateway-control/full-disks/full-disks.steps.ts
@@ -0,0 +1,205 @@
+import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type CatalogCluster, clock, createCatalogCluster, type Instance } from "./catalog-cluster.steps.js";
+import { CHANGE_FAULTS, CONFLICT_FAULTS, ELECTION_FAULTS, SEED_FAULTS, START_FAULTS } from "./disk-faults.steps.js";
+import { createFailingDisk, type DiskFault } from "./failing-disk.steps.js";
+import { createOperator, describe, type Operator, waitFor, waitForLeader } from "./operator.steps.js";
+
+/** Groups that run at the same time. */
+const PARALLEL_GROUPS = 7;
+/** Command that the leader appends without the knowledge of others. */
+const UNKNOWN_COMMAND = new Uint8Array([0xf6]);
+const ELECTION_INTERVAL_MS = 200;
+
+setDefaultTimeout(120_000);
+
+let clusters: CatalogCluster[] = [];
+let cluster: CatalogCluster;
+let operator: Operator;
+let slowest: Awaited<ReturnType<Operator["changeUntil"]>>;
+
+const listNames = (count: number) => Array.from({ length: count }, (_, index) => `control-${index + 1}`);
+const createCluster = (count: number, padding?: string) => {
+    const created = createCatalogCluster({
+        seeds: listNames(count).slice(0, 3),
+        voterCount: count,
+        segmentBytes: 1_024,
+        snapshotEveryEntries: 16,
+    });
+    clusters.push(created);
+    return { cluster: created, operator: createOperator(created, padding) };
+};
+const startCluster = async (count: number, padding?: string) => {
+    const created = createCluster(count, padding);
+    listNames(count).forEach(name => created.cluster.start(name, true));
+    await waitForVoters(created.cluster, names => names.length === count);
+    return created;
+};
+const waitForVoters = (tested: CatalogCluster, isExpected: (names: readonly string[]) => boolean) =>
+    waitFor(
+        () =>
+            tested.leader() !== undefined && [...tested.instances.values()].every(({ catalog }) => {
+                const members = catalog.replica()?.status().members ?? [];
+                return members.every(({ isVoter }) => isVoter) && isExpected(members.map(({ name }) => name));
+            }),
+        () => `The voters are not as expected: ${describe(tested)}`,
+    );
+
+/** Runs a check for each fault, each with a group of its own. */
+const forEachFault = async (
+    faults: Readonly<Record<string, DiskFault>>,
+    check: (fault: DiskFault, name: string) => Promise<void>,
+) => {
+    const remaining = Object.entries(faults);
+    await Promise.all(Array.from({ length: PARALLEL_GROUPS }, async () => {
+        for (let next = remaining.shift(); next !== undefined; next = remaining.shift()) {
+            const [name, fault] = next;
+            await check(fault, name).catch((error: unknown) => {
+                throw new Error(`Fault "${name}": ${String(error)}`, { cause: error });
+            });
+        }
+    }));
+};
+
+/** Transfers the leadership between the other instances until the fault has shown. */
+const transferUntil = async (hasShown: () => boolean, tested: CatalogCluster, victim: Instance) => {
+    while (!hasShown()) {
+        const leader = await waitForLeader(tested);
+        const target = [...tested.instances.values()].find(instance => instance !== leader && instance !== victim);
+        await leader.catalog.replica()?.transferLeadership(target?.name);
+        await clock.sleep(ELECTION_INTERVAL_MS);
+    }
+};
+
+/** Gives one leader after another entries that conflict with those of the next leader, until the fault has shown. */
+const conflictUntil = async (hasShown: () => boolean, tested: CatalogCluster) => {
+    while (!hasShown()) {
+        const leader = await waitForLeader(tested);
+        tested.setCut(leader.name, true);
+        const proposal = leader.catalog.proposeLocally(UNKNOWN_COMMAND).catch(() => undefined);
+        await waitForLeader(tested);
+        tested.setCut(leader.name, false);
+        await proposal;
+        await clock.sleep(ELECTION_INTERVAL_MS);
+    }
+};
+
+const checkFault = async (role: string, fault: DiskFault, name: string, milliseconds: number) => {
+    const tested = await startCluster(3);
+    const leader = await waitForLeader(tested.cluster);
+    const instances = [...tested.cluster.instances.values()];
+    const victim = role === "leader" ? leader : instances.find(instance => instance !== leader) as Instance;
+    const changing = new AbortController();
+    const changes = tested.operator.changeUntil(changing.signal);
+    changes.catch(() => undefined);
+    victim.disk.fill(fault);
+    const hasShown = () => victim.lines.some(({ event }) => event === "storage failed");
+    const show = () => {
+        if (name in ELECTION_FAULTS) {
+            return transferUntil(hasShown, tested.cluster, victim);
+        }
+        return name in CONFLICT_FAULTS
+            ? conflictUntil(hasShown, tested.cluster)
+            : waitFor(hasShown, () => "No operation failed.");
+    };
+    await Promise.race([show(), changes]);
+    await clock.sleep(milliseconds);
+    victim.disk.free();
+    changing.abort();
+    await changes;
+    await tested.operator.change();
+    await tested.operator.checkReads();
+    await tested.operator.checkFullReplica(victim);
+    await tested.operator.checkFiles();
+};
+
+After(async () => {
+    await Promise.all(clusters.map(({ end }) => end()));
+    clusters = [];
+});
+
+Then(
+    "for each file operation that fails for {int} ms on the disk of the {word}, while an item is changed:",
+    async (milliseconds: number, role: string, _checks: unknown) => {
+        await forEachFault(
+            { ...CHANGE_FAULTS, ...ELECTION_FAULTS, ...CONFLICT_FAULTS },
+            (fault, name) => checkFault(role, fault, name, milliseconds),
+        );
+    },
+);
+
+Then(
+    "for each file operation that fails for {int} ms at the first start of a seed, the group forms with it",
+    async (milliseconds: number) => {
+        await forEachFault({ ...SEED_FAULTS, ...START_FAULTS }, async fault => {
+            const tested = createCluster(3);
+            const disk = createFailingDisk();
+            disk.fill(fault);
+            const seed = tested.cluster.start("control-1", true, disk);
+            ["control-2", "control-3"].forEach(name => tested.cluster.start(name, true));
+            await waitFor(() => disk.failures() > 0, () => "No operation failed.");
+            await clock.sleep(milliseconds);
+            disk.free();
+            await tested.operator.change();
+            await tested.operator.checkFullReplica(seed);
+            await tested.operator.checkFiles();
+        });
+    },
+);
+
+Then(
+    "for each file operation that fails for {int} ms at the start of a replacement, it becomes a voter",
+    async (milliseconds: number) => {
+        await forEachFault(START_FAULTS, async fault => {
+            const tested = await startCluster(3);
+            await tested.operator.change();
+            const leader = await waitForLeader(tested.cluster);
+            const removed = [...tested.cluster.instances.values()].find(instance => instance !== leader) as Instance;
+            await removed.stop();
+            const disk = createFailingDisk();
+            disk.fill(fault);
+            const replacement = tested.cluster.start("control-4", false, disk);
+            await waitFor(() => disk.failures() > 0, () => "No operation failed.");
+            await clock.sleep(milliseconds);
+            await tested.operator.change();
+            disk.free();
+            await waitForVoters(
+                tested.cluster,
+                names => names.includes(replacement.name) && !names.includes(removed.name),
+            );
+            await tested.operator.checkFullReplica(replacement);
+            await tested.operator.checkFiles();
+        });
+    },
+);
+
+Given("{int} instances", async (count: number) => {
+    ({ cluster, operator } = await startCluster(count));
+});
+When(
+    "the disks are full for {int} ms one after another in {int} rounds, and then {int} times that of the leader",
+    async (milliseconds: number, rounds: number, leaders: number) => {
+        const changing = new AbortController();
+        const changes = operator.changeUntil(changing.signal);
+        changes.catch(() => undefined);
+        const fill = async (instance: Instance) => {
+            instance.disk.fill(() => true);
+            await Promise.race([clock.sleep(milliseconds), changes]);
+            instance.disk.free();
+        };
+        for (const instance of Array.from({ length: rounds }, () => [...cluster.instances.values()]).flat()) {
+            await fill(instance);
+        }
+        for (let count = 0; count < leaders; count += 1) {
+            await fill(await waitForLeader(cluster));
+        }
+        changing.abort();
+        slowest = await changes;
+    },
+);
+Then("changes were acknowledged in at most {int} s", async (seconds: number) => {
+    const { milliseconds, description } = slowest;
+    assert.ok(milliseconds <= seconds * 1_000, `A change took ${milliseconds} ms: ${description}`);
+    await operator.change();
+});
+Then("all instances have them in their files", () => operator.checkFiles());
--- a/packages/hyssopfront/src/gateway-control/initial-voters.ts
+++ b/packages/hyssopfront/src/gateway-control/initial-voters.ts
@@ -2,8 +2,7 @@
  * Stores the voters of a bootstrapped group on disk. An instance that is killed before it has synced the first log
  * entry must restart as one of these voters, although it is then configured to join an existing group.
  */
-import { NODE_FILE_SYSTEM, readChecked, replaceFile, StorageStep } from "@hyssopfront/coordination";
-import { mkdir } from "node:fs/promises";
+import { type FileSystem, readChecked, replaceFile, StorageStep } from "@hyssopfront/coordination";
 import { join } from "node:path";
 
 const FILE_NAME = "first-voters";
@@ -11,21 +10,26 @@
 /**
  * Returns the stored voters, or stores and returns the given ones. An empty list is not stored.
  *
+ * @param fileSystem File system of the folder.
  * @param folder Data folder of the instance.
  * @param voters Names of the voters, or an empty array when the group already exists.
  * @returns Names of the initial voters.
  * @throws Error when the folder cannot be read or written.
  * @throws StorageError when the file is corrupted.
  */
-export async function loadOrStoreInitialVoters(folder: string, voters: readonly string[]): Promise<readonly string[]> {
+export async function loadOrStoreInitialVoters(
+    fileSystem: FileSystem,
+    folder: string,
+    voters: readonly string[],
+): Promise<readonly string[]> {
     const path = join(folder, FILE_NAME);
-    await mkdir(folder, { recursive: true });
-    const stored = await readChecked(NODE_FILE_SYSTEM, path, StorageStep.Open);
+    await fileSystem.mkdir(folder, { recursive: true });
+    const stored = await readChecked(fileSystem, path, StorageStep.Open);
     if (stored !== undefined) {
         return JSON.parse(stored.toString("utf8")) as string[];
     }
     if (voters.length > 0) {
-        await replaceFile(NODE_FILE_SYSTEM, path, Buffer.from(JSON.stringify(voters)));
+        await replaceFile(fileSystem, path, Buffer.from(JSON.stringify(voters)));
     }
     return voters;
 }
