Keep the connections to all members while the storage is not open

A restarted control instance whose disk was full closed its connections to all members but the seeds every 250 ms, and opened them again for each call: the members were taken from the replica, and there is none while the storage is closed. Drains, departures and heartbeats at it reached too few others, and it could pass nothing on to a leader beyond the seeds.

Failure before, in gateway-control/full-disks/connections.feature: AssertionError: It was connected only to control-2,control-3.

The formation now keeps the members that the instance knew when it last had a leader. Passes since.

--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -58,10 +58,13 @@
     const joinRequests = new Map<string, number>();
     const reachedAt = new Map<string, number>();
     let reportedMembers: readonly string[] = [];
+    /** Members when this instance last had a leader. It stays connected to them while its storage is not open. */
+    let knownMembers: readonly string[] = [];
 
     const listMembers = (status: ReplicaStatus | undefined) => status?.members.map(member => member.name) ?? [];
     const listContacts = (status: ReplicaStatus | undefined) =>
-        [...new Set([...options.seeds(), ...listMembers(status), ...reportedMembers])].filter(name => name !== self);
+        [...new Set([...options.seeds(), ...listMembers(status), ...knownMembers, ...reportedMembers])]
+            .filter(name => name !== self);
 
     const updateReachable = () => {
         const now = clock.monotonicMilliseconds();
@@ -131,6 +134,7 @@
     const runRound = async () => {
         const replica = options.replica();
         const status = replica?.status();
+        knownMembers = status?.leader === undefined ? knownMembers : listMembers(status);
         peers.maintainConnections(listContacts(status).concat([...joinRequests.keys()]));
         updateReachable();
         if (replica === undefined || status === undefined) {
--- a/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
@@ -2,10 +2,11 @@
  * Group of catalog replicas in one process, on real files and with connections in memory that tests can cut.
  */
 import { createSystemClock, NO_COUNTERS, ReplicaRole, withDeadline } from "@hyssopfront/coordination";
+import { getEventListeners } from "node:events";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { type CatalogObserver, NO_CATALOG_OBSERVER } from "../../catalog/catalog-state.js";
+import type { Item } from "../../catalog/items.js";
 import { EventLevel, type EventLog } from "../../event-log/event-log.js";
 import { createFormation, JOIN_REQUEST_KIND } from "../../formation/formation.js";
 import type { MemberPeers } from "../../formation/member-peers.js";
@@ -25,6 +26,9 @@
     readonly disk: FailingDisk;
     readonly catalog: CatalogGroup;
     readonly lines: LogLine[];
+    /** Items that the instance was told of as changed. */
+    readonly observed: Item[];
+    readonly countAbortListeners: () => number;
     /** Names to which this instance maintained connections last. */
     readonly contacts: () => readonly string[];
     readonly stop: () => Promise<void>;
@@ -34,7 +38,7 @@
 export type CatalogCluster = {
     readonly instances: Map<string, Instance>;
     /** Starts an instance, with the disk and folder of an earlier one of the same name. */
-    start(name: string, isFirstStart: boolean, disk?: FailingDisk, observer?: CatalogObserver): Instance;
+    start(name: string, isFirstStart: boolean, disk?: FailingDisk): Instance;
     /** Cuts or restores all connections of an instance. */
     setCut(name: string, isCut: boolean): void;
     /** Returns the leader that a majority follows, or undefined when there is none. */
@@ -66,9 +70,9 @@
         name: string,
         isFirstStart: boolean,
         disk = createFailingDisk(),
-        observer: CatalogObserver = NO_CATALOG_OBSERVER,
     ) => {
         const lines: LogLine[] = [];
+        const observed: Item[] = [];
         const log: EventLog = (level, event, fields) => void lines.push({ level, event, fields: { ...fields } });
         let contacts: readonly string[] = [];
         const peers: MemberPeers = {
@@ -100,7 +104,7 @@
             snapshotEveryEntries: options.snapshotEveryEntries,
             initialVoters: isFirstStart && options.seeds.includes(name) ? options.seeds : [],
             peers,
-            observer,
+            observer: { onItems: items => void observed.push(...items), onDepartures: () => undefined },
             onStatus: () => undefined,
         });
         const formation = createFormation({
@@ -131,6 +135,8 @@
             disk,
             catalog,
             lines,
+            observed,
+            countAbortListeners: () => getEventListeners(stopping.signal, "abort").length,
             contacts: () => contacts,
             stop: async () => {
                 handlers.delete(name);
--- a/packages/hyssopfront/src/gateway-control/full-disks/full-disks.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/full-disks.steps.ts
@@ -1,9 +1,10 @@
-import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import { Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { type CatalogCluster, clock, createCatalogCluster, type Instance } from "./catalog-cluster.steps.js";
+import { type CatalogCluster, clock, type Instance } from "./catalog-cluster.steps.js";
 import { CHANGE_FAULTS, CONFLICT_FAULTS, ELECTION_FAULTS, SEED_FAULTS, START_FAULTS } from "./disk-faults.steps.js";
 import { createFailingDisk, type DiskFault } from "./failing-disk.steps.js";
-import { createOperator, describe, type Operator, waitFor, waitForLeader } from "./operator.steps.js";
+import { createCluster, findInstance, startCluster, waitForVoters } from "./groups.steps.js";
+import { type Operator, waitFor, waitForLeader } from "./operator.steps.js";
 
 /** Groups that run at the same time. */
 const PARALLEL_GROUPS = 7;
@@ -13,38 +14,10 @@
 
 setDefaultTimeout(120_000);
 
-let clusters: CatalogCluster[] = [];
 let cluster: CatalogCluster;
 let operator: Operator;
 let slowest: Awaited<ReturnType<Operator["changeUntil"]>>;
 
-const listNames = (count: number) => Array.from({ length: count }, (_, index) => `control-${index + 1}`);
-const createCluster = (count: number, padding?: string) => {
-    const created = createCatalogCluster({
-        seeds: listNames(count).slice(0, 3),
-        voterCount: count,
-        segmentBytes: 1_024,
-        snapshotEveryEntries: 16,
-    });
-    clusters.push(created);
-    return { cluster: created, operator: createOperator(created, padding) };
-};
-const startCluster = async (count: number, padding?: string) => {
-    const created = createCluster(count, padding);
-    listNames(count).forEach(name => created.cluster.start(name, true));
-    await waitForVoters(created.cluster, names => names.length === count);
-    return created;
-};
-const waitForVoters = (tested: CatalogCluster, isExpected: (names: readonly string[]) => boolean) =>
-    waitFor(
-        () =>
-            tested.leader() !== undefined && [...tested.instances.values()].every(({ catalog }) => {
-                const members = catalog.replica()?.status().members ?? [];
-                return members.every(({ isVoter }) => isVoter) && isExpected(members.map(({ name }) => name));
-            }),
-        () => `The voters are not as expected: ${describe(tested)}`,
-    );
-
 /** Runs a check for each fault, each with a group of its own. */
 const forEachFault = async (
     faults: Readonly<Record<string, DiskFault>>,
@@ -86,9 +59,7 @@
 
 const checkFault = async (role: string, fault: DiskFault, name: string, milliseconds: number) => {
     const tested = await startCluster(3);
-    const leader = await waitForLeader(tested.cluster);
-    const instances = [...tested.cluster.instances.values()];
-    const victim = role === "leader" ? leader : instances.find(instance => instance !== leader) as Instance;
+    const victim = await findInstance(tested.cluster, role);
     const changing = new AbortController();
     const changes = tested.operator.changeUntil(changing.signal);
     changes.catch(() => undefined);
@@ -113,11 +84,6 @@
     await tested.operator.checkFiles();
 };
 
-After(async () => {
-    await Promise.all(clusters.map(({ end }) => end()));
-    clusters = [];
-});
-
 Then(
     "for each file operation that fails for {int} ms on the disk of the {word}, while an item is changed:",
     async (milliseconds: number, role: string, _checks: unknown) => {
@@ -153,8 +119,7 @@
         await forEachFault(START_FAULTS, async fault => {
             const tested = await startCluster(3);
             await tested.operator.change();
-            const leader = await waitForLeader(tested.cluster);
-            const removed = [...tested.cluster.instances.values()].find(instance => instance !== leader) as Instance;
+            const removed = await findInstance(tested.cluster, "follower");
             await removed.stop();
             const disk = createFailingDisk();
             disk.fill(fault);
--- a/packages/hyssopfront/src/gateway-control/full-disks/operator.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/operator.steps.ts
@@ -14,7 +14,10 @@
 const CALL_MS = 2_000;
 const READY_TIMEOUT_MS = 10_000;
 const CHANGE_INTERVAL_MS = 20;
-const ITEM_NAME = "limits";
+/** Rises across all operators, so that each of their changes takes effect. */
+let lastVersion = 0;
+/** Name of the item that is changed. */
+export const ITEM_NAME = "limits";
 
 /** Waits until a condition holds, and fails with the message after the given time. */
 export const waitFor = async (condition: () => boolean, message: () => string, milliseconds = READY_TIMEOUT_MS) => {
@@ -78,7 +81,6 @@
 /** Creates the operator of a group. `padding` adds to the size of the item. */
 export const createOperator = (cluster: CatalogCluster, padding = "x".repeat(200)) => {
     const { instances, setCut } = cluster;
-    let lastVersion = 0;
     let acknowledgedVersion = 0;
 
     const submit = async ({ catalog }: Instance, version: number, milliseconds: number) => {
