Fail changes and reads of the catalog at their deadline on the leader too

An operation that the leader itself received had no deadline while its entry could not be committed, for example because the disks of a majority of the others were stalled: callers got no answer at all. Only calls to another leader had one.

Failure before, in gateway-control/full-disks/deadlines.feature, with a deadline of 500 ms: AssertionError: It took 5001 ms. (when the test gave up)

The proposal and the read barrier are now waited for until the deadline of the caller. Passes since.

--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -17,6 +17,7 @@
     ProposalRefusedError,
     type Replica,
     type ReplicaStatus,
+    withDeadline,
 } from "@hyssopfront/coordination";
 import {
     type CatalogCommand,
@@ -194,7 +195,7 @@
     const proposeToLeader = async (command: Uint8Array, deadlineMilliseconds: number): Promise<CommandResult> => {
         const leader = requireReplica().status().leader;
         if (leader === undefined || leader === self) {
-            return proposeOnReplica(command);
+            return withDeadline(clock, deadlineMilliseconds, proposeOnReplica(command));
         }
         const deadline = Math.min(LEADER_REPLY_DEADLINE_MS, deadlineMilliseconds);
         const reply = await options.peers.call(leader, ControlRequestKind.Propose, { command }, deadline);
@@ -235,8 +236,8 @@
             return retryUntil("submit", deadlineMilliseconds, remaining => proposeToLeader(encoded, remaining));
         },
         catchUp: deadlineMilliseconds =>
-            retryUntil("catch up", deadlineMilliseconds, async () => {
-                await requireReplica().readBarrier();
+            retryUntil("catch up", deadlineMilliseconds, async remaining => {
+                await withDeadline(clock, remaining, requireReplica().readBarrier());
             }),
         run: async signal => {
             while (!signal.aborted) {
--- a/packages/hyssopfront/src/gateway-control/full-disks/failing-disk.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/failing-disk.steps.ts
@@ -29,6 +29,8 @@
     readonly fileSystem: FileSystem;
     /** Makes operations fail until `free` is called. */
     fill(fault: DiskFault): void;
+    /** Makes writes and syncs of files wait until `free` is called. */
+    stall(): void;
     free(): void;
     /** Returns the number of operations that failed since `fill`. */
     failures(): number;
@@ -39,6 +41,8 @@
 /** Creates a disk that has room. */
 export function createFailingDisk(): FailingDisk {
     let fault: DiskFault | undefined;
+    let released = Promise.resolve();
+    let release: () => void = () => undefined;
     let failureCount = 0;
     let openCount = 0;
 
@@ -57,6 +61,7 @@
     const wrap = (handle: FileHandle, path: string, isFolder: boolean): FileHandle => {
         const replaced: Readonly<Record<string, unknown>> = {
             write: async (bytes: Uint8Array, offset: number, length: number, position: number) => {
+                await released;
                 if (hasFault(DiskOperation.Write, path, position)) {
                     await handle.write(bytes, offset, length >> 1, position);
                     fail(DiskOperation.Write);
@@ -64,10 +69,12 @@
                 return handle.write(bytes, offset, length, position);
             },
             sync: async () => {
+                await released;
                 check(isFolder ? DiskOperation.SyncFolder : DiskOperation.Sync, path);
                 await handle.sync();
             },
             datasync: async () => {
+                await released;
                 check(DiskOperation.Sync, path, APPEND_SYNC_POSITION);
                 await handle.datasync();
             },
@@ -118,8 +125,14 @@
             fault = newFault;
             failureCount = 0;
         },
+        stall: () => {
+            released = new Promise(resolve => {
+                release = resolve;
+            });
+        },
         free: () => {
             fault = undefined;
+            release();
         },
         failures: () => failureCount,
         openFiles: () => openCount,
