Pass changes on to the leader while the storage of the instance is not open

An instance whose disk was full refused changes, evacuations and departures until its disk had room, and kept the callers waiting for their whole deadline, although the other instances took changes at once: without its replica it did not know whom to ask. A backend server's departure (800 ms) was always refused there.

Failure before, in gateway-control/full-disks/forwarding.feature, for the leader's and for a follower's disk: CatalogUnavailableError: The control group gave no answer in time at submit. (after 1000 ms)

While the storage is closed, the connected instances are now asked in turn; those that do not lead refuse at once. The command is idempotent and carries what it depends on, as before. Passes since.

--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -192,8 +192,18 @@
     const proposeOnReplica = async (command: Uint8Array) =>
         (await requireReplica().propose(command)).result as CommandResult;
 
-    const proposeToLeader = async (command: Uint8Array, deadlineMilliseconds: number): Promise<CommandResult> => {
-        const leader = requireReplica().status().leader;
+    /** Returns the instance to propose to. While the storage is not open, the connected ones are tried in turn. */
+    const findLeader = (attempt: number) => {
+        const connected = options.peers.connected();
+        return open === undefined ? connected[attempt % connected.length] : open.replica.status().leader;
+    };
+
+    const proposeToLeader = async (
+        command: Uint8Array,
+        deadlineMilliseconds: number,
+        attempt: number,
+    ): Promise<CommandResult> => {
+        const leader = findLeader(attempt);
         if (leader === undefined || leader === self) {
             return withDeadline(clock, deadlineMilliseconds, proposeOnReplica(command));
         }
@@ -206,12 +216,12 @@
     const retryUntil = async <T>(
         step: string,
         deadlineMilliseconds: number,
-        attempt: (remainingMilliseconds: number) => Promise<T>,
+        operation: (remainingMilliseconds: number, attempt: number) => Promise<T>,
     ): Promise<T> => {
         const endsAt = clock.monotonicMilliseconds() + deadlineMilliseconds;
-        for (;;) {
+        for (let attempt = 0;; attempt += 1) {
             try {
-                return await attempt(endsAt - clock.monotonicMilliseconds());
+                return await operation(endsAt - clock.monotonicMilliseconds(), attempt);
             }
             catch (error) {
                 if (
@@ -233,7 +243,11 @@
         proposeLocally: proposeOnReplica,
         submit: (command, deadlineMilliseconds) => {
             const encoded = encodeCommand(command);
-            return retryUntil("submit", deadlineMilliseconds, remaining => proposeToLeader(encoded, remaining));
+            return retryUntil(
+                "submit",
+                deadlineMilliseconds,
+                (remaining, attempt) => proposeToLeader(encoded, remaining, attempt),
+            );
         },
         catchUp: deadlineMilliseconds =>
             retryUntil("catch up", deadlineMilliseconds, async remaining => {
