Keep the items of an instance while its storage is closed or applies its log again

While the disk of an instance was full, its catalog was empty, and after that it went through the old versions again. The directory then ignored the home regions of routes, an announced backend server got a slow start of no requests, and evacuations were decided on versions long replaced.

Failure before, in gateway-control/full-disks/reads.feature: AssertionError: It had version 0. (after 40 acknowledged changes)

Reads are now served from the state with the most applied commands: the one before, until the opened storage has applied as much. Operators' reads still wait for the barrier of the open replica. Passes since.

--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -54,9 +54,12 @@
 export type CatalogGroup = {
     /** Returns the replica, or `undefined` while the storage is not open. */
     replica(): Replica | undefined;
-    /** Returns all items as applied on this instance, deleted ones included. Empty while the storage is not open. */
+    /**
+     * Returns all items as applied on this instance, deleted ones included. While the storage is not open, and until it
+     * has applied as much again, these are the items before.
+     */
     items(): readonly Item[];
-    /** Returns one item as applied on this instance, or undefined if it is unknown or the storage is not open. */
+    /** Returns one item in the same way, or undefined if it is unknown. */
     find(kind: ItemKind, name: string): Item | undefined;
     /** Handles a consensus message of another instance. Rejects with NotLeaderError while the storage is not open. */
     handleConsensus(from: string, payload: unknown): Promise<ConsensusReply>;
@@ -101,12 +104,22 @@
     readonly onStatus: (status: ReplicaStatus) => void;
 };
 
-type OpenGroup = { readonly replica: Replica; readonly storage: LogStorage; readonly state: CatalogState };
+/** State and the index of the last command or snapshot in it. */
+type AppliedState = { readonly state: CatalogState; index: number };
+
+type OpenGroup = { readonly replica: Replica; readonly storage: LogStorage };
 
 /** Creates the group without starting it. */
 export function createCatalogGroup(options: CatalogGroupOptions): CatalogGroup {
     const { clock, counters, log, self, fileSystem = NODE_FILE_SYSTEM } = options;
     let open: OpenGroup | undefined;
+    /** State with the most applied commands. A storage that is opened again applies its log from the start. */
+    let latest: AppliedState | undefined;
+
+    const advance = (applied: AppliedState, index: number) => {
+        applied.index = index;
+        latest = latest === undefined || index >= latest.index ? applied : latest;
+    };
 
     const logStatus = (() => {
         let last = "";
@@ -132,6 +145,7 @@
             counters,
         });
         const state = createCatalogState(options.observer);
+        const applied: AppliedState = { state, index: 0 };
         const replica = createReplica({
             groupId: GROUP_ID,
             self,
@@ -145,9 +159,16 @@
                 parseConsensusReply(
                     await options.peers.call(peer, ControlRequestKind.Consensus, message, deadlineMilliseconds),
                 ),
-            apply: entry => state.apply(entry.index, decodeCommand(entry.payload)),
+            apply: entry => {
+                const result = state.apply(entry.index, decodeCommand(entry.payload));
+                advance(applied, entry.index);
+                return result;
+            },
             takeSnapshot: state.takeSnapshot,
-            restoreSnapshot: payload => state.restoreSnapshot(payload),
+            restoreSnapshot: (payload, index) => {
+                state.restoreSnapshot(payload);
+                advance(applied, index);
+            },
             onStateChange: status => {
                 logStatus(status);
                 options.onStatus(status);
@@ -157,7 +178,7 @@
             },
         });
         replica.start();
-        return { replica, storage, state };
+        return { replica, storage };
     };
 
     const close = async ({ replica, storage }: OpenGroup) => {
@@ -237,8 +258,8 @@
 
     return {
         replica: () => open?.replica,
-        items: () => open?.state.items() ?? [],
-        find: (kind, name) => open?.state.find(kind, name),
+        items: () => latest?.state.items() ?? [],
+        find: (kind, name) => latest?.state.find(kind, name),
         handleConsensus: (from, payload) => requireReplica().handle(from, parseConsensusRequest(payload)),
         proposeLocally: proposeOnReplica,
         submit: (command, deadlineMilliseconds) => {
