--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -99,7 +99,7 @@
     /** Voters of a group that is bootstrapped. Empty when the group already exists. */
     readonly initialVoters: readonly string[];
     readonly peers: MemberPeers;
-    /** Called with what a command or a snapshot has changed. */
+    /** Called with what a command or a snapshot has changed, but not again when the log is applied again. */
     readonly observer: CatalogObserver;
     readonly onStatus: (status: ReplicaStatus) => void;
 };
@@ -121,6 +121,8 @@
         latest = latest === undefined || index >= latest.index ? applied : latest;
     };
 
+    const isNews = ({ kind, name, version }: Item) => version > (latest?.state.find(kind, name)?.version ?? -Infinity);
+
     const logStatus = (() => {
         let last = "";
         return ({ role, term, leader, members }: ReplicaStatus) => {
@@ -144,7 +146,15 @@
             segmentBytes: options.segmentBytes,
             counters,
         });
-        const state = createCatalogState(options.observer);
+        const state: CatalogState = createCatalogState({
+            ...options.observer,
+            onItems: items => {
+                const changed = latest === undefined || latest.state === state ? items : items.filter(isNews);
+                if (changed.length > 0) {
+                    options.observer.onItems(changed);
+                }
+            },
+        });
         const applied: AppliedState = { state, index: 0 };
         const replica = createReplica({
             groupId: GROUP_ID,
