Keep no listener for each opening of the storage

Each opening added a listener to the signal that stops the instance and left it there.

Failure before, in gateway-control/full-disks/storage-log.feature: AssertionError: 5 !== 2 (listeners after a disk was full for 1200 ms, and before)

The listener is removed when the storage is closed. Passes since.

--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -198,18 +198,25 @@
 
     const runUntilFailure = async (signal: AbortSignal) => {
         let fail: (error: Error) => void = () => undefined;
+        let stop: () => void = () => undefined;
         const failed = new Promise<Error | undefined>(resolve => {
             fail = resolve;
-            signal.addEventListener("abort", () => resolve(undefined), { once: true });
+            stop = () => resolve(undefined);
         });
-        open = await openGroup(error => fail(error));
-        log(EventLevel.Info, "storage opened", { lastIndex: open.storage.lastIndex });
-        const error = await failed;
-        const closing = open;
-        open = undefined;
-        await close(closing);
-        if (error !== undefined) {
-            throw error;
+        signal.addEventListener("abort", stop, { once: true });
+        try {
+            const opened = await openGroup(error => fail(error));
+            open = opened;
+            log(EventLevel.Info, "storage opened", { lastIndex: opened.storage.lastIndex });
+            const error = await failed;
+            open = undefined;
+            await close(opened);
+            if (error !== undefined) {
+                throw error;
+            }
+        }
+        finally {
+            signal.removeEventListener("abort", stop);
         }
     };
 
