Log what has failed in the storage, and for how long it was closed

The line "storage failed" had one text, without fields for the step, the file and the code of the system, and for a full disk at the start of an instance it did not tell which file was meant. No line told that a storage had been closed before, or for how long.

Failure before, in gateway-control/full-disks/storage-log.feature: AssertionError: Expected values to be strictly equal: 'undefined' !== 'string' (type of the step)

"storage failed" now has step, path, code, the number of failures and the time since the first one, also when the list of the first voters cannot be read or written; "storage opened" has the failures and the time for which it was closed.

--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -17,6 +17,7 @@
     ProposalRefusedError,
     type Replica,
     type ReplicaStatus,
+    StorageError,
     withDeadline,
 } from "@hyssopfront/coordination";
 import {
@@ -104,6 +105,15 @@
     readonly onStatus: (status: ReplicaStatus) => void;
 };
 
+/** Returns the log fields that describe an error of the storage: its step, the path and the code of the system. */
+const storageFields = (error: unknown) => {
+    if (!(error instanceof StorageError)) {
+        return {};
+    }
+    const { code, path = error.path } = (error.cause ?? {}) as NodeJS.ErrnoException;
+    return { step: error.step, path, code };
+};
+
 /** State and the index of the last command or snapshot in it. */
 type AppliedState = { readonly state: CatalogState; index: number };
 
@@ -113,6 +123,8 @@
 export function createCatalogGroup(options: CatalogGroupOptions): CatalogGroup {
     const { clock, counters, log, self, fileSystem = NODE_FILE_SYSTEM } = options;
     let open: OpenGroup | undefined;
+    /** Failures since the storage was open last, and the monotonic time of the first one in milliseconds. */
+    let closure: { readonly since: number; readonly failures: number } | undefined;
     /** State with the most applied commands. A storage that is opened again applies its log from the start. */
     let latest: AppliedState | undefined;
 
@@ -196,6 +208,25 @@
         await storage.close().catch(error => log(EventLevel.Warning, "closing the storage failed", errorFields(error)));
     };
 
+    const describeClosure = () =>
+        closure === undefined ? {} : {
+            failures: closure.failures,
+            closedMilliseconds: Math.round(clock.monotonicMilliseconds() - closure.since),
+        };
+
+    const logFailure = (error: unknown) => {
+        closure = {
+            since: closure?.since ?? clock.monotonicMilliseconds(),
+            failures: (closure?.failures ?? 0) + 1,
+        };
+        log(EventLevel.Error, "storage failed", {
+            ...errorFields(error),
+            ...storageFields(error),
+            ...describeClosure(),
+        });
+        counters.increment("catalog.storage_failures");
+    };
+
     const runUntilFailure = async (signal: AbortSignal) => {
         let fail: (error: Error) => void = () => undefined;
         let stop: () => void = () => undefined;
@@ -207,7 +238,8 @@
         try {
             const opened = await openGroup(error => fail(error));
             open = opened;
-            log(EventLevel.Info, "storage opened", { lastIndex: opened.storage.lastIndex });
+            log(EventLevel.Info, "storage opened", { lastIndex: opened.storage.lastIndex, ...describeClosure() });
+            closure = undefined;
             const error = await failed;
             open = undefined;
             await close(opened);
@@ -297,8 +329,7 @@
                     await runUntilFailure(signal);
                 }
                 catch (error) {
-                    log(EventLevel.Error, "storage failed", errorFields(error));
-                    counters.increment("catalog.storage_failures");
+                    logFailure(error);
                 }
                 if (!signal.aborted) {
                     await clock.sleep(REOPEN_PAUSE_MS, signal).catch(() => undefined);
--- a/packages/hyssopfront/src/gateway-control/initial-voters.ts
+++ b/packages/hyssopfront/src/gateway-control/initial-voters.ts
@@ -2,7 +2,7 @@
  * Stores the voters of a bootstrapped group on disk. An instance that is killed before it has synced the first log
  * entry must restart as one of these voters, although it is then configured to join an existing group.
  */
-import { type FileSystem, readChecked, replaceFile, StorageStep } from "@hyssopfront/coordination";
+import { type FileSystem, readChecked, replaceFile, StorageError, StorageStep } from "@hyssopfront/coordination";
 import { join } from "node:path";
 
 const FILE_NAME = "first-voters";
@@ -14,8 +14,7 @@
  * @param folder Data folder of the instance.
  * @param voters Names of the voters, or an empty array when the group already exists.
  * @returns Names of the initial voters.
- * @throws Error when the folder cannot be read or written.
- * @throws StorageError when the file is corrupted.
+ * @throws StorageError when the file cannot be read or written, or is corrupted.
  */
 export async function loadOrStoreInitialVoters(
     fileSystem: FileSystem,
@@ -23,13 +22,22 @@
     voters: readonly string[],
 ): Promise<readonly string[]> {
     const path = join(folder, FILE_NAME);
-    await fileSystem.mkdir(folder, { recursive: true });
-    const stored = await readChecked(fileSystem, path, StorageStep.Open);
-    if (stored !== undefined) {
-        return JSON.parse(stored.toString("utf8")) as string[];
+    try {
+        await fileSystem.mkdir(folder, { recursive: true });
+        const stored = await readChecked(fileSystem, path, StorageStep.Open);
+        if (stored !== undefined) {
+            return JSON.parse(stored.toString("utf8")) as string[];
+        }
+        if (voters.length > 0) {
+            await replaceFile(fileSystem, path, Buffer.from(JSON.stringify(voters)));
+        }
+        return voters;
     }
-    if (voters.length > 0) {
-        await replaceFile(fileSystem, path, Buffer.from(JSON.stringify(voters)));
+    catch (error) {
+        if (error instanceof StorageError) {
+            throw error;
+        }
+        const problem = `The list of the first voters failed: ${String(error)}.`;
+        throw new StorageError(StorageStep.Open, path, problem, "Check the disk and the data folder.", error);
     }
-    return voters;
 }
