--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -7,7 +7,9 @@
     type ConsensusReply,
     type Counters,
     createReplica,
+    type FileSystem,
     type LogStorage,
+    NODE_FILE_SYSTEM,
     NotLeaderError,
     openLogStorage,
     parseConsensusReply,
@@ -15,6 +17,8 @@
     ProposalRefusedError,
     type Replica,
     type ReplicaStatus,
+    StorageError,
+    withDeadline,
 } from "@hyssopfront/coordination";
 import {
     type CatalogCommand,
@@ -51,9 +55,12 @@
 export type CatalogGroup = {
     /** Returns the replica, or `undefined` while the storage is not open. */
     replica(): Replica | undefined;
-    /** Returns all items as applied on this instance, deleted ones included. Empty while the storage is not open. */
+    /**
+     * Returns all items as applied on this instance, deleted ones included. While the storage is not open, and until it
+     * has applied as much again, these are the items before.
+     */
     items(): readonly Item[];
-    /** Returns one item as applied on this instance, or undefined if it is unknown or the storage is not open. */
+    /** Returns one item in the same way, or undefined if it is unknown. */
     find(kind: ItemKind, name: string): Item | undefined;
     /** Handles a consensus message of another instance. Rejects with NotLeaderError while the storage is not open. */
     handleConsensus(from: string, payload: unknown): Promise<ConsensusReply>;
@@ -84,20 +91,49 @@
     readonly self: string;
     readonly clusterId: string;
     readonly dataFolder: string;
+    /** File system to use, which tests replace by one that fails. Default: the file system of Node.js. */
+    readonly fileSystem?: FileSystem;
+    /** Size in bytes from which the log continues in a new segment. Default: that of the log storage. */
+    readonly segmentBytes?: number;
+    /** Number of entries after which the log is compacted into a snapshot. Default: that of the replica. */
+    readonly snapshotEveryEntries?: number;
     /** Voters of a group that is bootstrapped. Empty when the group already exists. */
     readonly initialVoters: readonly string[];
     readonly peers: MemberPeers;
-    /** Called with what a command or a snapshot has changed. */
+    /** Called with what a command or a snapshot has changed, but not again when the log is applied again. */
     readonly observer: CatalogObserver;
     readonly onStatus: (status: ReplicaStatus) => void;
 };
 
-type OpenGroup = { readonly replica: Replica; readonly storage: LogStorage; readonly state: CatalogState };
+/** Returns the log fields that describe an error of the storage: its step, the path and the code of the system. */
+const storageFields = (error: unknown) => {
+    if (!(error instanceof StorageError)) {
+        return {};
+    }
+    const { code, path = error.path } = (error.cause ?? {}) as NodeJS.ErrnoException;
+    return { step: error.step, path, code };
+};
+
+/** State and the index of the last command or snapshot in it. */
+type AppliedState = { readonly state: CatalogState; index: number };
+
+type OpenGroup = { readonly replica: Replica; readonly storage: LogStorage };
 
 /** Creates the group without starting it. */
 export function createCatalogGroup(options: CatalogGroupOptions): CatalogGroup {
-    const { clock, counters, log, self } = options;
+    const { clock, counters, log, self, fileSystem = NODE_FILE_SYSTEM } = options;
     let open: OpenGroup | undefined;
+    /** Failures since the storage was open last, and the monotonic time of the first one in milliseconds. */
+    let closure: { readonly since: number; readonly failures: number } | undefined;
+    /** State with the most applied commands. A storage that is opened again applies its log from the start. */
+    let latest: AppliedState | undefined;
+
+    const advance = (applied: AppliedState, index: number) => {
+        applied.index = index;
+        latest = latest === undefined || index >= latest.index ? applied : latest;
+    };
+
+    const isNews = ({ kind, name, version }: Item) => version > (latest?.state.find(kind, name)?.version ?? -Infinity);
 
     const logStatus = (() => {
         let last = "";
@@ -112,15 +148,26 @@
     })();
 
     const openGroup = async (reportFailure: (error: Error) => void): Promise<OpenGroup> => {
-        const initialVoters = await loadOrStoreInitialVoters(options.dataFolder, options.initialVoters);
+        const initialVoters = await loadOrStoreInitialVoters(fileSystem, options.dataFolder, options.initialVoters);
         const storage = await openLogStorage({
             folder: options.dataFolder,
             clusterId: options.clusterId,
             replicaId: self,
             isFolderPrivate: true,
+            fileSystem,
+            segmentBytes: options.segmentBytes,
             counters,
         });
-        const state = createCatalogState(options.observer);
+        const state: CatalogState = createCatalogState({
+            ...options.observer,
+            onItems: items => {
+                const changed = latest === undefined || latest.state === state ? items : items.filter(isNews);
+                if (changed.length > 0) {
+                    options.observer.onItems(changed);
+                }
+            },
+        });
+        const applied: AppliedState = { state, index: 0 };
         const replica = createReplica({
             groupId: GROUP_ID,
             self,
@@ -128,14 +175,22 @@
             random: options.random,
             storage,
             counters,
+            snapshotEveryEntries: options.snapshotEveryEntries,
             initialVoters: initialVoters.map(name => ({ name })),
             call: async (peer, message, deadlineMilliseconds) =>
                 parseConsensusReply(
                     await options.peers.call(peer, ControlRequestKind.Consensus, message, deadlineMilliseconds),
                 ),
-            apply: entry => state.apply(entry.index, decodeCommand(entry.payload)),
+            apply: entry => {
+                const result = state.apply(entry.index, decodeCommand(entry.payload));
+                advance(applied, entry.index);
+                return result;
+            },
             takeSnapshot: state.takeSnapshot,
-            restoreSnapshot: payload => state.restoreSnapshot(payload),
+            restoreSnapshot: (payload, index) => {
+                state.restoreSnapshot(payload);
+                advance(applied, index);
+            },
             onStateChange: status => {
                 logStatus(status);
                 options.onStatus(status);
@@ -145,7 +200,7 @@
             },
         });
         replica.start();
-        return { replica, storage, state };
+        return { replica, storage };
     };
 
     const close = async ({ replica, storage }: OpenGroup) => {
@@ -153,20 +208,47 @@
         await storage.close().catch(error => log(EventLevel.Warning, "closing the storage failed", errorFields(error)));
     };
 
+    const describeClosure = () =>
+        closure === undefined ? {} : {
+            failures: closure.failures,
+            closedMilliseconds: Math.round(clock.monotonicMilliseconds() - closure.since),
+        };
+
+    const logFailure = (error: unknown) => {
+        closure = {
+            since: closure?.since ?? clock.monotonicMilliseconds(),
+            failures: (closure?.failures ?? 0) + 1,
+        };
+        log(EventLevel.Error, "storage failed", {
+            ...errorFields(error),
+            ...storageFields(error),
+            ...describeClosure(),
+        });
+        counters.increment("catalog.storage_failures");
+    };
+
     const runUntilFailure = async (signal: AbortSignal) => {
         let fail: (error: Error) => void = () => undefined;
+        let stop: () => void = () => undefined;
         const failed = new Promise<Error | undefined>(resolve => {
             fail = resolve;
-            signal.addEventListener("abort", () => resolve(undefined), { once: true });
+            stop = () => resolve(undefined);
         });
-        open = await openGroup(error => fail(error));
-        log(EventLevel.Info, "storage opened", { lastIndex: open.storage.lastIndex });
-        const error = await failed;
-        const closing = open;
-        open = undefined;
-        await close(closing);
-        if (error !== undefined) {
-            throw error;
+        signal.addEventListener("abort", stop, { once: true });
+        try {
+            const opened = await openGroup(error => fail(error));
+            open = opened;
+            log(EventLevel.Info, "storage opened", { lastIndex: opened.storage.lastIndex, ...describeClosure() });
+            closure = undefined;
+            const error = await failed;
+            open = undefined;
+            await close(opened);
+            if (error !== undefined) {
+                throw error;
+            }
+        }
+        finally {
+            signal.removeEventListener("abort", stop);
         }
     };
 
@@ -180,10 +262,20 @@
     const proposeOnReplica = async (command: Uint8Array) =>
         (await requireReplica().propose(command)).result as CommandResult;
 
-    const proposeToLeader = async (command: Uint8Array, deadlineMilliseconds: number): Promise<CommandResult> => {
-        const leader = requireReplica().status().leader;
+    /** Returns the instance to propose to. While the storage is not open, the connected ones are tried in turn. */
+    const findLeader = (attempt: number) => {
+        const connected = options.peers.connected();
+        return open === undefined ? connected[attempt % connected.length] : open.replica.status().leader;
+    };
+
+    const proposeToLeader = async (
+        command: Uint8Array,
+        deadlineMilliseconds: number,
+        attempt: number,
+    ): Promise<CommandResult> => {
+        const leader = findLeader(attempt);
         if (leader === undefined || leader === self) {
-            return proposeOnReplica(command);
+            return withDeadline(clock, deadlineMilliseconds, proposeOnReplica(command));
         }
         const deadline = Math.min(LEADER_REPLY_DEADLINE_MS, deadlineMilliseconds);
         const reply = await options.peers.call(leader, ControlRequestKind.Propose, { command }, deadline);
@@ -194,12 +286,12 @@
     const retryUntil = async <T>(
         step: string,
         deadlineMilliseconds: number,
-        attempt: (remainingMilliseconds: number) => Promise<T>,
+        operation: (remainingMilliseconds: number, attempt: number) => Promise<T>,
     ): Promise<T> => {
         const endsAt = clock.monotonicMilliseconds() + deadlineMilliseconds;
-        for (;;) {
+        for (let attempt = 0;; attempt += 1) {
             try {
-                return await attempt(endsAt - clock.monotonicMilliseconds());
+                return await operation(endsAt - clock.monotonicMilliseconds(), attempt);
             }
             catch (error) {
                 if (
@@ -215,17 +307,21 @@
 
     return {
         replica: () => open?.replica,
-        items: () => open?.state.items() ?? [],
-        find: (kind, name) => open?.state.find(kind, name),
+        items: () => latest?.state.items() ?? [],
+        find: (kind, name) => latest?.state.find(kind, name),
         handleConsensus: (from, payload) => requireReplica().handle(from, parseConsensusRequest(payload)),
         proposeLocally: proposeOnReplica,
         submit: (command, deadlineMilliseconds) => {
             const encoded = encodeCommand(command);
-            return retryUntil("submit", deadlineMilliseconds, remaining => proposeToLeader(encoded, remaining));
+            return retryUntil(
+                "submit",
+                deadlineMilliseconds,
+                (remaining, attempt) => proposeToLeader(encoded, remaining, attempt),
+            );
         },
         catchUp: deadlineMilliseconds =>
-            retryUntil("catch up", deadlineMilliseconds, async () => {
-                await requireReplica().readBarrier();
+            retryUntil("catch up", deadlineMilliseconds, async remaining => {
+                await withDeadline(clock, remaining, requireReplica().readBarrier());
             }),
         run: async signal => {
             while (!signal.aborted) {
@@ -233,8 +329,7 @@
                     await runUntilFailure(signal);
                 }
                 catch (error) {
-                    log(EventLevel.Error, "storage failed", errorFields(error));
-                    counters.increment("catalog.storage_failures");
+                    logFailure(error);
                 }
                 if (!signal.aborted) {
                     await clock.sleep(REOPEN_PAUSE_MS, signal).catch(() => undefined);
