--- a/packages/hyssopfront/src/command-line/daemon-commands.ts
+++ b/packages/hyssopfront/src/command-line/daemon-commands.ts
@@ -16,13 +16,12 @@
 
 type Stoppable = { stop(): Promise<void> };
 
-/** Waits for SIGTERM or SIGINT, then stops gracefully; a second signal exits immediately. */
+/** Waits for SIGTERM or SIGINT, then stops gracefully. During the stop SIGINT exits at once, SIGTERM does nothing. */
 async function runUntilSignal(daemon: Stoppable): Promise<ExitCode> {
     await new Promise<void>(resolve => {
-        process.once("SIGTERM", () => resolve());
+        process.on("SIGTERM", () => resolve());
         process.once("SIGINT", () => resolve());
     });
-    process.once("SIGTERM", () => process.exit(ExitCode.Usage));
     process.once("SIGINT", () => process.exit(ExitCode.Usage));
     await daemon.stop();
     return ExitCode.Success;
--- a/packages/hyssopfront/src/command-line/processes/processes.feature
+++ b/packages/hyssopfront/src/command-line/processes/processes.feature
@@ -45,3 +45,10 @@
     And the entry serves requests
     When SIGINT is sent while a request is in flight
     Then the response is complete and the process exits with code 0 and no error output
+
+  # Guards against a repeated SIGTERM that ends a stopping process at once, with the requests that it works on.
+  Scenario: A second SIGTERM does not cut off the requests of a stopping system
+    Given a running development system
+    And the entry serves requests
+    When SIGTERM is sent twice while a request is in flight
+    Then the response is complete and the process exits with code 0 and no error output
--- a/packages/hyssopfront/src/command-line/processes/processes.steps.ts
+++ b/packages/hyssopfront/src/command-line/processes/processes.steps.ts
@@ -126,7 +126,7 @@
     }
 });
 
-When("SIGINT is sent while a request is in flight", async () => {
+const sendSignals = async (signals: readonly NodeJS.Signals[]) => {
     const { admin, entry, process: system } = await runningSystem();
     const headers = { "content-length": BODY_BYTES };
     const sending = httpRequest(`http://${entry}/stoc/search`, { method: "GET", headers });
@@ -139,11 +139,18 @@
     // The last byte of the body is sent after the signal, so the request is in flight when the shutdown begins.
     sending.write("x".repeat(BODY_BYTES - 1));
     await waitForEntryState(admin, ({ inFlight }) => inFlight === 1);
-    const ended = system.signal("SIGINT");
+    const [firstSignal, ...laterSignals] = signals;
+    const ended = system.signal(firstSignal!);
+    await waitForEntryState(admin, ({ isLeaving }) => isLeaving === true);
+    laterSignals.forEach(signal => void system.signal(signal));
     await waitForEntryState(admin, ({ isLeaving }) => isLeaving === true);
     sending.end("x");
     [stoppedSystem, exitCode] = [system, await ended];
-});
+};
+
+When("SIGINT is sent while a request is in flight", () => sendSignals(["SIGINT"]));
+
+When("SIGTERM is sent twice while a request is in flight", () => sendSignals(["SIGTERM", "SIGTERM"]));
 
 Then("the response is complete and the process exits with code 0 and no error output", async () => {
     assert.match(await inFlightResponse, /^200 \{.*"path":"\/search"\}\n$/);
