Answer the request after a long one that was answered early

Seen: the response to a request with a long body ends before the body has been read (the backend server rejects or answers it early, the body is over the limit). The rest of the body stays in the caller's connection, paused, and the next request on it is never answered. In a stop, such a response carries "Connection: close", and the connection is reset while the caller still sends, so that the response may be lost.

The rest is read and discarded once the response has been sent, for at most 3 s and 16 MiB; then the connection is closed. Until then the request counts as in progress, and a stopping entry closes the connection after the rest. A body over the limit no longer pauses the request at each chunk.

--- a/packages/hyssopfront/src/gateway/caller-connections.ts
+++ b/packages/hyssopfront/src/gateway/caller-connections.ts
@@ -2,7 +2,7 @@
  * Tracks the connections of callers, so that a stop can close exactly those without a request in progress.
  */
 import type { Clock } from "@hyssopfront/coordination";
-import type { Server, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 
 /**
@@ -24,8 +24,11 @@
 
 /** The connections of callers. */
 export type CallerConnections = {
-    /** Records a request, which is in progress until its response has been sent or its connection is closed. */
-    startRequest(response: ServerResponse): void;
+    /**
+     * Records a request, which is in progress until its body has been read and its response has been sent, or its
+     * connection is closed.
+     */
+    startRequest(message: IncomingMessage, response: ServerResponse): void;
     /** Number of requests that are in progress. */
     openRequests(): number;
     /** Stops accepting connections. Those that are open stay open. */
@@ -48,7 +51,7 @@
         connection.once("close", () => connections.delete(connection));
     });
     return {
-        startRequest: response => {
+        startRequest: (message, response) => {
             const state = response.socket ? connections.get(response.socket) : undefined;
             const count = (change: number) => {
                 openRequests += change;
@@ -58,7 +61,14 @@
                 }
             };
             count(1);
-            response.once("close", () => count(-1));
+            response.once("close", () => {
+                if (message.complete || message.destroyed) {
+                    count(-1);
+                }
+                else {
+                    message.once("close", () => count(-1));
+                }
+            });
         },
         openRequests: () => openRequests,
         // The server's own `close` would also close connections whose last response has not been sent completely, because
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -450,3 +450,29 @@
       | begins a long response and ends it after 2200 ms   | sends a request to orders                   |
       | reads a body of 3000000 bytes and responds         | sends 3000000 bytes to orders within 1500 ms |
       | reads a body of 900000 bytes and responds          | sends 900000 bytes to orders within 1500 ms |
+
+  # Guards against requests that are never answered, because the rest of an earlier body is left on their connection.
+  Scenario Outline: The request after a long one that was answered early is answered
+    Given orders-1 of orders <behavior>
+    And the limit of bodies is <limit> bytes
+    When a caller sends <bytes> bytes to orders within 300 ms and then a short request on the same connection
+    Then it gets <status> and 200
+
+    Examples:
+      | behavior                                           | limit    | bytes   | status |
+      | rejects long requests unread and responds to others | 10000000 | 1500000 | 503    |
+      | responds to long requests unread and to others     | 10000000 | 1500000 | 200    |
+      | responds to long requests unread and to others     | 1000     | 300000  | 413    |
+
+  # Guards against an early response that is lost, because its connection is reset while the caller still sends.
+  Scenario: A stopping entry closes the connection of a long request that was answered early after its body
+    Given an entry that may take 2000 ms to stop
+    And orders-1 of orders rejects long requests unread and responds to others
+    When a caller sends 1500000 bytes to orders within 600 ms and the entry stops
+    Then it gets 503, and its connection is closed without a reset
+
+  # Guards against connections that are kept for bodies that never end.
+  Scenario: The connection of a request that was answered early is closed if its body does not end
+    Given orders-1 of orders rejects long requests unread and responds to others
+    When a caller sends only the beginning of a request with 1500000 bytes to orders
+    Then it gets 503, and its connection is closed within 3500 ms
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -12,6 +12,7 @@
 import { createPrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
 import { SAMPLE_BACKEND_RECORD } from "../registry/sample-backend-record.js";
+import { DEFAULT_LIMITS } from "./catalog-view.js";
 import { type EventLoopLag, measureEventLoopLag } from "./event-loop-lag.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "./sample-header-names.js";
 import { parsePauseMilliseconds } from "./server-notices.js";
@@ -77,6 +78,7 @@
 let rawResponse: string;
 let isRawConnectionClosed: boolean;
 let rawConnection: Socket;
+let rawError: Error | undefined;
 let stop: EntryStop;
 let events: { readonly event: string; readonly [field: string]: unknown }[];
 
@@ -127,6 +129,12 @@
         respond(socket, request.id);
     }
 };
+/** Responds to the head of a long request, and to short requests. */
+const respondUnread = (respondToLong: Behavior): Behavior => (socket, id) => {
+    if (id !== "") {
+        (id.startsWith("long") ? respondToLong : respond)(socket, id);
+    }
+};
 /** Numbers of the requests that arrived on each connection. */
 const requestCounts = new WeakMap<Socket, number>();
 const requestsOf = (socket: Socket) => requestCounts.get(socket) ?? 0;
@@ -217,6 +225,8 @@
         socket.write("x".repeat(LONG_RESPONSE_BYTES - 1));
         setTimeout(() => socket.write("x"), 2_200);
     },
+    "rejects long requests unread and responds to others": respondUnread(rejectRequest),
+    "responds to long requests unread and to others": respondUnread(respond),
     "reads a body of 3000000 bytes and responds": respondToBody(3_000_000),
     "reads a body of 900000 bytes and responds": respondToBody(900_000),
     "does not respond": () => undefined,
@@ -862,11 +872,12 @@
 );
 
 /** Opens a connection of a caller and collects what it receives. */
-const connectRaw = () => {
+const connectRaw = (allowHalfOpen = false) => {
     rawResponse = "";
     isRawConnectionClosed = false;
-    rawConnection = connect(callerPort, HOST);
-    rawConnection.on("error", () => undefined);
+    rawConnection = connect({ port: callerPort, host: HOST, allowHalfOpen });
+    rawError = undefined;
+    rawConnection.on("error", error => rawError = error);
     rawConnection.on("data", data => rawResponse += data.toString());
     rawConnection.on("close", () => isRawConnectionClosed = true);
 };
@@ -950,3 +961,56 @@
     await clock.sleep(2_300);
     assertWholeResponse();
 });
+
+When("the limit of bodies is {int} bytes", async (maximumBodyBytes: number) => {
+    const kind = ItemKind.Limits;
+    const limits = { ...DEFAULT_LIMITS, maximumBodyBytes };
+    publishItem({ kind, name: "", version: 2, value: { kind, limits } });
+    await waitForFeed();
+});
+const sendSlowly = async (bytes: number, milliseconds: number) => {
+    const part = Buffer.alloc(bytes / BODY_PARTS, "y");
+    for (let count = 0; count < BODY_PARTS; count += 1) {
+        rawConnection.write(part);
+        await clock.sleep(milliseconds / BODY_PARTS);
+    }
+};
+const createLongRequest = (bytes: number) =>
+    createRequest("orders", [`content-length: ${bytes}`]).replace(/: q(\d+)\r/, ": long$1\r");
+const rawStatuses = () => [...rawResponse.matchAll(/HTTP\/1.1 (\d+)/g)].map(match => match[1]).join(" ");
+When(
+    "a caller sends {int} bytes to orders within {int} ms and then a short request on the same connection",
+    async (bytes: number, milliseconds: number) => {
+        connectRaw();
+        rawConnection.write(createLongRequest(bytes));
+        await sendSlowly(bytes, milliseconds);
+        rawConnection.write(createRequest("orders"));
+    },
+);
+Then("it gets {int} and {int}", async (first: number, second: number) => {
+    await waitUntil(() => rawStatuses() === `${first} ${second}`);
+});
+When(
+    "a caller sends {int} bytes to orders within {int} ms and the entry stops",
+    async (bytes: number, milliseconds: number) => {
+        // The caller writes its whole request even if the response has ended.
+        connectRaw(true);
+        stopPromise = gateway.stop();
+        rawConnection.write(createLongRequest(bytes));
+        await sendSlowly(bytes, milliseconds);
+        rawConnection.end();
+    },
+);
+Then("it gets {int}, and its connection is closed without a reset", async (status: number) => {
+    await waitUntil(() => isRawConnectionClosed);
+    assert.deepEqual([rawStatuses(), rawError], [String(status), undefined]);
+});
+When("a caller sends only the beginning of a request with {int} bytes to orders", (bytes: number) => {
+    connectRaw();
+    rawConnection.write(createLongRequest(bytes));
+    rawConnection.write(Buffer.alloc(bytes / BODY_PARTS, "y"));
+});
+Then("it gets {int}, and its connection is closed within {int} ms", async (status: number, milliseconds: number) => {
+    await clock.sleep(milliseconds);
+    assert.deepEqual([rawStatuses(), isRawConnectionClosed], [String(status), true]);
+});
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -54,8 +54,9 @@
     // The time that a request has waited to be read counts towards its deadline.
     const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0);
     const id = String(message.headers[headerNames.requestId] ?? "");
-    // Callers should connect to other entries once the stop has begun.
-    const closesConnection = () => dependencies.currentStop() !== undefined;
+    // Callers should connect to other entries once the stop has begun. A connection that is closed while its caller still
+    // sends is reset, and the response may be lost.
+    const closesConnection = () => dependencies.currentStop() !== undefined && message.complete;
     const caller = createCallerResponse(response, message.method ?? "GET", id, headerNames, closesConnection);
     const respond = (status: number, reason: string, retryAfterMilliseconds?: number) => {
         log(EventLevel.Warning, "local response sent", { request: id, status, reason, path: message.url });
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -9,6 +9,7 @@
 import { createFeedFollower } from "../feed/follow-feeds.js";
 import { memberName } from "../formation/member-peers.js";
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
+import { discardRest } from "../http/discard-rest.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { createTimers } from "../routing/timers.js";
@@ -204,7 +205,8 @@
 
     const connections = trackCallerConnections(server, clock);
     const handleRequest = rejectInvalidHeaders(server, (message, response) => {
-        connections.startRequest(response);
+        connections.startRequest(message, response);
+        response.once("finish", () => discardRest(message));
         serveRequest(dependencies, message, response).catch((error: unknown) => {
             log(EventLevel.Error, "request failed with an internal error", {
                 request: String(message.headers[headerNames.requestId] ?? ""),
--- a/packages/hyssopfront/src/routing/request-body.ts
+++ b/packages/hyssopfront/src/routing/request-body.ts
@@ -21,15 +21,17 @@
     return new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
         let bytes = 0;
-        request.on("data", (chunk: Buffer) => {
+        const collect = (chunk: Buffer) => {
             bytes += chunk.length;
             if (bytes > limitBytes) {
+                request.off("data", collect);
                 request.pause();
                 reject(new BodyTooLargeError(limitBytes));
                 return;
             }
             chunks.push(chunk);
-        });
+        };
+        request.on("data", collect);
         request.on("end", () => resolve(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)));
         request.on("error", reject);
         request.on("close", () => {
