Simulate kills that leave unsynced writes and losses of disks while all others lose power

A crash of a simulated replica lost a random suffix of its unsynced writes, so that no schedule had a process that finds what the one before has not synced. Nor did any schedule wipe as many disks as are tolerated at the moment at which all other replicas lose power, which is the users' new term.

--- a/packages/coordination/src/consensus/random-schedules.steps.ts
+++ b/packages/coordination/src/consensus/random-schedules.steps.ts
@@ -11,6 +11,7 @@
     Crash = "crash",
     CrashAll = "crashAll",
     Restart = "restart",
+    Kill = "kill",
     Isolate = "isolate",
     CutOneWay = "cutOneWay",
     HealNetwork = "healNetwork",
@@ -19,6 +20,7 @@
     Lossy = "lossy",
     Slow = "slow",
     Wipe = "wipe",
+    WipeInPowerLoss = "wipeInPowerLoss",
     Transfer = "transfer",
     RemoveOrAdd = "removeOrAdd",
 }
@@ -173,6 +175,10 @@
             target.crash();
             group.start(name);
             break;
+        case Fault.Kill:
+            target.kill();
+            group.start(name);
+            break;
         case Fault.Isolate:
             group.isolate(name);
             break;
@@ -201,6 +207,14 @@
                 group.start(name);
             }
             break;
+        case Fault.WipeInPowerLoss:
+            if (isWipeAllowed(group, size)) {
+                const tolerated = Math.floor((size - 1) / 2);
+                group.wipeWhileOthersLosePower(
+                    Array.from({ length: tolerated }, (_, at) => NAMES[(node + at) % size]!),
+                );
+            }
+            break;
         case Fault.Transfer:
             void group.leader()?.replica!.transferLeadership(otherName);
             break;
--- a/packages/coordination/src/consensus/simulated-disk.steps.ts
+++ b/packages/coordination/src/consensus/simulated-disk.steps.ts
@@ -1,6 +1,6 @@
 /**
- * In-memory log storage for simulations. Writes become durable after a delay on the simulated clock; a crash loses
- * a random number of the latest writes that are not durable yet.
+ * In-memory log storage for simulations. Writes become durable after a delay on the simulated clock; a loss of power
+ * loses a random number of the latest writes that are not durable yet, while a kill keeps them visible.
  */
 import type { Clock } from "../clock/clock.js";
 import type { HardState, LogStorage, StoredEntry, StoredSnapshot } from "../storage/log-storage.js";
@@ -12,26 +12,30 @@
     entries: StoredEntry[];
     hardState: HardState;
     snapshot: StoredSnapshot | undefined;
+    /** Writes of a killed process, which the next one sees although they are not durable. */
+    unsynced: ((content: DiskContent) => void)[];
     /** When set, writes fail with this error message. */
     fault?: string;
 };
 
-type DiskContent = Omit<SimulatedDisk, "storeId" | "fault">;
+type DiskContent = Pick<SimulatedDisk, "entries" | "hardState" | "snapshot">;
 
 /** Creates an empty disk. */
 export function createSimulatedDisk(storeId: string): SimulatedDisk {
-    return { storeId, entries: [], hardState: { term: 0, votedFor: undefined }, snapshot: undefined };
+    return { storeId, entries: [], hardState: { term: 0, votedFor: undefined }, snapshot: undefined, unsynced: [] };
 }
 
 /**
- * Opens a log storage on a disk. Its `crash` applies a random number of the pending writes to the disk, in order, and
- * loses the others; the storage is unusable afterwards.
+ * Opens a log storage on a disk, which syncs what it finds. Its `crash` is a loss of power, which applies a random
+ * number of the pending writes to the disk, in order, and loses the others. Its `kill` leaves all of them visible. The
+ * storage is unusable afterwards.
  */
 export function openSimulatedStorage(
     disk: SimulatedDisk,
     clock: Clock,
     random: () => number,
-): LogStorage & { crash(): void } {
+): LogStorage & { crash(): void; kill(): void } {
+    disk.unsynced.splice(0).forEach(write => write(disk));
     const view: DiskContent = { ...disk, entries: [...disk.entries] };
     const queue: { readonly write: (content: DiskContent) => void; readonly done: (error?: Error) => void }[] = [];
     let isWriting = false;
@@ -139,5 +143,11 @@
             const survivingWrites = Math.floor(random() * (queue.length + 1));
             queue.slice(0, survivingWrites).forEach(({ write }) => write(disk));
         },
+        kill: () => {
+            if (!isCrashed) {
+                isCrashed = true;
+                disk.unsynced.push(...queue.map(({ write }) => write));
+            }
+        },
     };
 }
--- a/packages/coordination/src/consensus/simulated-group.steps.ts
+++ b/packages/coordination/src/consensus/simulated-group.steps.ts
@@ -21,7 +21,10 @@
     readonly name: string;
     disk: SimulatedDisk;
     replica: Replica | undefined;
+    /** Loses power. */
     crash: () => void;
+    /** Ends the process; what it has written stays visible. */
+    kill: () => void;
     /** Applied payloads, from index 1 on; undefined for no-op and membership entries. */
     applied: (string | undefined)[];
     isSuspended: boolean;
@@ -199,11 +202,13 @@
             ...extraOptions(name),
         });
         node.replica = replica;
-        node.crash = () => {
-            storage.crash();
+        const end = (endStorage: () => void) => () => {
+            endStorage();
             node.replica = undefined;
             void replica.stop();
         };
+        node.crash = end(storage.crash);
+        node.kill = end(storage.kill);
         replica.start();
     };
 
@@ -217,6 +222,7 @@
             disk,
             replica: undefined,
             crash: () => undefined,
+            kill: () => undefined,
             applied: [],
             isSuspended: false,
             resumed,
@@ -300,6 +306,13 @@
         nodes.get(name)!.disk = createSimulatedDisk(`store-${++storeCount}`);
     };
 
+    /** The disks of some replicas are wiped while all others lose power; then all restart. */
+    const wipeWhileOthersLosePower = (wiped: readonly string[]) => {
+        nodes.forEach(node => node.crash());
+        wiped.forEach(wipe);
+        nodes.forEach((_, name) => start(name));
+    };
+
     /** Asserts that all running replicas have applied every acknowledged proposal at its index. */
     const assertNothingLost = () => {
         [...nodes.values()].filter(node => node.replica !== undefined).forEach(node => {
@@ -329,5 +342,6 @@
         start,
         until,
         wipe,
+        wipeWhileOthersLosePower,
     };
 }
