Write log lines whole, and exit also when the log cannot be written

Cause: sonic-boom's flushSync, which was called before each exit, writes the buffered chunks while an asynchronous write is still in progress: that write is cut where the pipe was full, and its rest is never written. Its loop repeats after each error but EAGAIN and EBUSY without an end (EPIPE, ENOSPC), and blocks the event loop meanwhile. No option changes either.

Now one write is in progress at a time, what a partial or failed write left is written before anything else, and a flush waits for it for at most 500 ms without blocking. Writes have at most PIPE_BUF bytes. After EPIPE all lines are dropped and counted; a failed write that loses nothing no longer counts as a dropped line.

--- a/packages/hyssopfront/src/event-log/create-event-log.ts
+++ b/packages/hyssopfront/src/event-log/create-event-log.ts
@@ -2,14 +2,14 @@
  * Event log that writes JSON lines to standard output.
  */
 import type { Clock } from "@hyssopfront/coordination";
+import { write } from "node:fs";
+import { promisify } from "node:util";
 import { pino } from "pino";
 import { EventLevel, type EventLog } from "./event-log.js";
+import { createLineWriter } from "./line-writer.js";
 
-/** Buffered lines are written once they reach this size, or after the flush interval. */
-const FLUSH_BYTES = 4_096;
-const FLUSH_INTERVAL_MS = 250;
-/** Maximum size of the buffer, which fills up while the reader does not read. Further lines are dropped and counted. */
-const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
+const writeToFile = promisify(write);
+const STANDARD_OUTPUT = 1;
 
 /** Maximum number of lines per second about requests that did not fail. More of them add little information. */
 const REQUEST_LINES_PER_SECOND = 100;
@@ -18,8 +18,8 @@
 /** Event log of a process, and the function that flushes its buffer. */
 export type ProcessEventLog = {
     readonly log: EventLog;
-    /** Writes the buffered lines synchronously, before the process exits. */
-    flush(): void;
+    /** Writes the buffered lines, before the process exits. Resolves after 500 ms at the latest, and never rejects. */
+    flush(): Promise<void>;
 };
 
 /** Returns a function that is true for at most `maximum` calls per second. */
@@ -41,7 +41,7 @@
  * Creates the log of a process. Writing never blocks: lines that a slow reader does not read in time are dropped.
  * Lines about requests are rate limited at level Info. Failures have a higher level and are not limited.
  *
- * @param clock Clock of the rate limit.
+ * @param clock Clock of the rate limit and of the intervals between writes.
  * @param fields Fields of every line, such as the name of the instance.
  * @param onDropped Called for each dropped line.
  * @returns The log and its flush function.
@@ -51,20 +51,16 @@
     fields: Readonly<Record<string, unknown>>,
     onDropped: () => void,
 ): ProcessEventLog {
-    const destination = pino.destination({
-        dest: 1,
-        sync: false,
-        minLength: FLUSH_BYTES,
-        maxLength: MAXIMUM_BUFFERED_BYTES,
-        periodicFlush: FLUSH_INTERVAL_MS,
+    const writer = createLineWriter({
+        clock,
+        writeBytes: async bytes => (await writeToFile(STANDARD_OUTPUT, bytes)).bytesWritten,
+        onDropped,
     });
-    destination.on("drop", onDropped);
-    destination.on("error", onDropped);
     const logger = pino({
         base: { ...fields },
         messageKey: "event",
         formatters: { level: label => ({ level: label }) },
-    }, destination);
+    }, { write: writer.write });
     const isWithinLimit = createRateLimit(clock, REQUEST_LINES_PER_SECOND);
     return {
         log: (level, event, eventFields = {}) => {
@@ -84,6 +80,6 @@
                     break;
             }
         },
-        flush: () => destination.flushSync(),
+        flush: writer.flush,
     };
 }
--- a/packages/hyssopfront/src/event-log/event-log.feature
+++ b/packages/hyssopfront/src/event-log/event-log.feature
@@ -16,3 +16,39 @@
     When a process writes 1000 lines about requests at once, every tenth about a failure
     Then 100 lines are about successful requests and 100 about failures
     And 800 lines are counted as dropped
+
+  # Guards against a line that is cut within its JSON by another, and against lines that are lost uncounted at an exit.
+  Scenario Outline: A process that exits while a part of its log is being written leaves whole lines
+    When a process logs <count> items and a failure and exits, while its output is read from then on
+    Then each of the <count> items and the failure has a whole line
+
+    Examples:
+      | count |
+      | 800   |
+      | 4000  |
+
+  # Guards against a process that cannot exit, as nothing reads its log or its reader has gone.
+  Scenario: A process whose log cannot be written exits
+    When a process logs 4000 items and a failure and exits, while its output is not read and is closed 2 s later
+    Then it has exited within 10 s
+
+  # Guards against a cut line when the log is written in parts, on a full disk or to a slow reader.
+  Scenario Outline: Lines are whole when writes are partial and fail
+    Given a log destination that accepts 7 bytes at a time and fails with <code> every third time
+    When 50 lines are written and flushed
+    Then the destination holds exactly these lines
+    And no line is dropped
+
+    Examples:
+      | code   |
+      | ENOSPC |
+      | EAGAIN |
+      | EIO    |
+
+  # Guards against lines that are dropped uncounted after the reader of the log has gone.
+  Scenario: Lines are dropped and counted once the reader has gone
+    Given a log destination that accepts 7 bytes at a time and fails with EPIPE every third time
+    When 50 lines are written and flushed
+    Then 50 lines are dropped
+    When 50 lines are written and flushed
+    Then 100 lines are dropped
--- a/packages/hyssopfront/src/event-log/event-log.steps.ts
+++ b/packages/hyssopfront/src/event-log/event-log.steps.ts
@@ -1,13 +1,23 @@
 import { Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import { createSystemClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { Readable } from "node:stream";
+import { createLineWriter, type LineWriter } from "./line-writer.js";
 import { buildRequestTimeline, type LoggedEvent, parseLogLine } from "./request-timeline.js";
 
 setDefaultTimeout(30_000);
 
+/** Longer than the bound of the test, and shorter than the timeout of a step. */
+const EXIT_TIMEOUT_MS = 15_000;
+const WRITES_PER_FAILURE = 3;
+/** More than are needed to write the lines of a test. */
+const FLUSHES = 2_000;
+
 const line = (time: number, instance: string, event: string, fields: object, role = "entry") =>
     `12.5 ${instance} ${JSON.stringify({ level: "info", time, instance, role, ...fields, event })}`;
 
@@ -22,6 +32,11 @@
 let lines: readonly string[];
 let loggedEvents: readonly LoggedEvent[];
 let droppedLines: number;
+let output: string;
+let exitMilliseconds: number;
+let writer: LineWriter;
+let writtenLines: readonly string[];
+let destination: string;
 let writeReport: { readonly milliseconds: number; readonly dropped: number; readonly memoryBytes: number };
 
 Given("logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 drained and was ejected there", () => {
@@ -76,3 +91,87 @@
     },
 );
 Then("{int} lines are counted as dropped", (count: number) => assert.equal(droppedLines, count));
+
+/** Runs the program that logs and exits, and a shell command that reads from its exit on. Kills it after a timeout. */
+const logAndExit = async (count: number, readCommand: string) => {
+    const folder = mkdtempSync(join(tmpdir(), "event-log-"));
+    const exitMark = join(folder, "exits");
+    const read = `until [ -e ${exitMark} ]; do sleep 0.05; done; ${readCommand}`;
+    const program = join(import.meta.dirname, "log-and-exit.ts");
+    const child = spawn(
+        "sh",
+        ["-c", `"$0" "$@" | { ${read}; }`, process.execPath, program, String(count), exitMark],
+        { detached: true, stdio: ["ignore", "pipe", "pipe"] },
+    );
+    const { pid } = child;
+    assert.ok(pid !== undefined);
+    const timeout = setTimeout(() => process.kill(-pid, "SIGKILL"), EXIT_TIMEOUT_MS);
+    // The end of standard error is the end of the program, unlike that of its output.
+    const [text] = await Promise.all([readAll(child.stdout), readAll(child.stderr)]);
+    clearTimeout(timeout);
+    rmSync(folder, { recursive: true });
+    return text;
+};
+When(
+    "a process logs {int} items and a failure and exits, while its output is read from then on",
+    async (count: number) => {
+        output = await logAndExit(count, "cat");
+    },
+);
+Then("each of the {int} items and the failure has a whole line", (count: number) => {
+    const texts = output.split("\n").slice(0, -1);
+    const events = texts.map(parseLogLine);
+    assert.deepEqual(texts.filter((_, index) => events[index] === undefined), []);
+    const names = events.slice(0, -1).map(event => event?.fields.name);
+    assert.deepEqual(names, Array.from({ length: count }, (_, index) => `é${index}`));
+    assert.equal(events.at(-1)?.event, "process failed");
+});
+When(
+    "a process logs {int} items and a failure and exits, while its output is not read and is closed 2 s later",
+    async (count: number) => {
+        const startedAt = performance.now();
+        await logAndExit(count, "sleep 2");
+        exitMilliseconds = performance.now() - startedAt;
+    },
+);
+Then("it has exited within {int} s", (seconds: number) => {
+    assert.ok(exitMilliseconds < seconds * 1_000, `It has not exited after ${exitMilliseconds} ms.`);
+});
+Given(
+    "a log destination that accepts {int} bytes at a time and fails with {word} every third time",
+    (maximumBytes: number, code: string) => {
+        let writes = 0;
+        destination = "";
+        droppedLines = 0;
+        writtenLines = [];
+        const chunks: Buffer[] = [];
+        writer = createLineWriter({
+            clock: { ...createSystemClock(), sleep: () => new Promise(resolve => setImmediate(resolve)) },
+            writeBytes: async bytes => {
+                writes += 1;
+                if (writes % WRITES_PER_FAILURE === 0) {
+                    throw Object.assign(new Error(`${code}, write`), { code });
+                }
+                const accepted = Buffer.from(bytes.subarray(0, maximumBytes));
+                chunks.push(accepted);
+                destination = Buffer.concat(chunks).toString();
+                return accepted.length;
+            },
+            onDropped: () => {
+                droppedLines += 1;
+            },
+        });
+    },
+);
+When("{int} lines are written and flushed", async (count: number) => {
+    const lines = Array.from({ length: count }, (_, index) => `{"name":"é${index}"}\n`);
+    writtenLines = [...writtenLines, ...lines];
+    lines.forEach(text => writer.write(text));
+    // A flush ends after its timeout, which is short on the clock of this test.
+    for (let flushes = 0; flushes < FLUSHES; flushes += 1) {
+        await writer.flush();
+    }
+});
+Then("the destination holds exactly these lines", () => assert.equal(destination, writtenLines.join("")));
+Then("no line is dropped", () => assert.equal(droppedLines, 0));
+Then("{int} lines are dropped", (count: number) => assert.equal(droppedLines, count));
--- /dev/null
+++ b/packages/hyssopfront/src/event-log/line-writer.ts
@@ -0,0 +1,132 @@
+/**
+ * Buffered writer of lines. Each line is written whole or dropped whole and counted: one write is in progress at a time,
+ * and the rest of a write that was partial or failed is written before anything else.
+ */
+import type { Clock } from "@hyssopfront/coordination";
+
+/** Buffered lines are written once they reach this size, or after the flush interval. */
+const WRITE_BYTES = 4_096;
+const WRITE_INTERVAL_MS = 250;
+/** Maximum size of one write, in bytes, unless a line is longer: PIPE_BUF, up to which writes to a pipe are atomic. */
+const MAXIMUM_WRITE_BYTES = 4_096;
+/** Maximum size of the buffer, which fills up while nothing can be written. Further lines are dropped and counted. */
+const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
+/** Pause after a failed write, in milliseconds. */
+const RETRY_PAUSE_MS = 100;
+/** Maximum duration of a flush, in milliseconds, so that a reader that has stopped cannot keep a process from exiting. */
+const FLUSH_TIMEOUT_MS = 500;
+
+/** The destination has no reader any more. */
+const CLOSED_CODE = "EPIPE";
+
+/** Writer of lines. */
+export type LineWriter = {
+    /** Buffers a line that ends with a line feed. Never blocks and never throws. */
+    write(line: string): void;
+    /** Writes the buffered lines. Resolves once that is done, or after 500 ms. Never rejects. */
+    flush(): Promise<void>;
+};
+
+/** Dependencies of a writer. */
+export type LineWriterOptions = {
+    readonly clock: Clock;
+    /** Writes bytes to the destination and returns how many of them were written. */
+    readonly writeBytes: (bytes: Uint8Array) => Promise<number>;
+    /** Called for each dropped line. */
+    readonly onDropped: () => void;
+};
+
+/** Creates a writer. */
+export function createLineWriter({ clock, writeBytes, onDropped }: LineWriterOptions): LineWriter {
+    let lines: string[] = [];
+    let bufferedBytes = 0;
+    /** Whole lines that are being written, without the bytes that have been written. */
+    let rest: Uint8Array = new Uint8Array();
+    let writing: Promise<void> | undefined;
+    let isScheduled = false;
+    let isClosed = false;
+
+    const takeLines = () => {
+        let bytes = 0;
+        const count = lines.findIndex(line => {
+            bytes += Buffer.byteLength(line);
+            return bytes > MAXIMUM_WRITE_BYTES;
+        });
+        return Buffer.from(lines.splice(0, count < 0 ? lines.length : Math.max(count, 1)).join(""));
+    };
+    const close = () => {
+        isClosed = true;
+        const unwritten = [...Buffer.from(rest).toString().matchAll(/\n/g), ...lines];
+        rest = new Uint8Array();
+        lines = [];
+        bufferedBytes = 0;
+        unwritten.forEach(() => onDropped());
+    };
+    const onWriteFailed = async (error: unknown) => {
+        if ((error as NodeJS.ErrnoException).code === CLOSED_CODE) {
+            close();
+        }
+        else {
+            await clock.sleep(RETRY_PAUSE_MS);
+        }
+    };
+    const writeAll = async () => {
+        while (rest.length > 0 || lines.length > 0) {
+            rest = rest.length > 0 ? rest : takeLines();
+            try {
+                const count = await writeBytes(rest);
+                rest = rest.subarray(count);
+                bufferedBytes -= count;
+            }
+            catch (error) {
+                await onWriteFailed(error);
+            }
+        }
+    };
+    const startWriting = () => {
+        writing ??= writeAll().then(() => {
+            writing = undefined;
+        });
+        return writing;
+    };
+    const scheduleWrite = () => {
+        if (!isScheduled && writing === undefined) {
+            isScheduled = true;
+            void clock.sleep(WRITE_INTERVAL_MS).then(() => {
+                isScheduled = false;
+                void startWriting();
+            });
+        }
+    };
+
+    return {
+        write: line => {
+            const bytes = Buffer.byteLength(line);
+            if (isClosed || bufferedBytes + bytes > MAXIMUM_BUFFERED_BYTES) {
+                onDropped();
+                return;
+            }
+            lines.push(line);
+            bufferedBytes += bytes;
+            if (bufferedBytes >= WRITE_BYTES) {
+                void startWriting();
+            }
+            else {
+                scheduleWrite();
+            }
+        },
+        flush: async () => {
+            const timeout = new AbortController();
+            const writeRemaining = async () => {
+                while (rest.length > 0 || lines.length > 0) {
+                    await startWriting();
+                }
+            };
+            await Promise.race([
+                writeRemaining(),
+                clock.sleep(FLUSH_TIMEOUT_MS, timeout.signal).catch(() => undefined),
+            ]);
+            timeout.abort();
+        },
+    };
+}
--- a/packages/hyssopfront/src/event-log/write-mixed-lines.ts
+++ b/packages/hyssopfront/src/event-log/write-mixed-lines.ts
@@ -16,5 +16,5 @@
         request: `q${index}`,
     })
 );
-flush();
+await flush();
 process.stderr.write(JSON.stringify({ dropped }));
