Answer the calls that a stopping control instance has read

Seen: in a stop of a control instance, the calls of operators and backend servers that it had read ended without a response when the process exited, and its directory and its idle connections served on until then.

The leadership is transferred, calls in progress have 1 s to end, those that are left get 503 at once, and the replica is stopped after that. An order that is answered with 503 may still take effect, as after a timeout.

Left as it is: a call whose body has not been read completely ends without a response.

--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -34,6 +34,7 @@
 } from "../registry/backend-record.js";
 import { createRegistry } from "../registry/registry.js";
 import { allocateSlowStartQuotas } from "../slow-start/slow-start-quotas.js";
+import { createCallsInProgress } from "./calls-in-progress.js";
 import { createCatalogGroup } from "./catalog-group.js";
 import { type EvacuationOrder, submitEvacuation } from "./evacuation-orders.js";
 import { createMemberConnectivity } from "./member-connectivity.js";
@@ -59,6 +60,9 @@
 /** Backend servers are only expired after this many heartbeat intervals of connectivity to all control instances. */
 const FULL_CONNECTIVITY_HEARTBEATS = 4;
 
+/** Time for calls in progress after a stop has transferred the leadership, in milliseconds. A change takes less. */
+const STOP_CALLS_MS = 1_000;
+
 /** Dependencies and settings of a control instance. */
 export type GatewayControlOptions = {
     readonly clock: Clock;
@@ -122,7 +126,7 @@
     findEntries(host: string, callerRegion: string): readonly EntryReport[];
     /** Returns the names of the voters that this instance knows. */
     voters(): readonly string[];
-    /** Transfers the leadership if this instance holds it, then stops the instance. */
+    /** Transfers the leadership if it is held here, and stops. Calls in progress reject after 1 s, outcome unknown. */
     stop(): Promise<void>;
 };
 
@@ -346,13 +350,15 @@
         catchUpCatalog(),
     ];
 
+    const { rejectAtStop, waitUntilEnded } = createCallsInProgress(clock, signal);
     return {
-        receiveAnnouncement: announcement =>
+        receiveAnnouncement: rejectAtStop((announcement: BackendAnnouncement) =>
             mergeAndReplicate(
                 { ...announcement, coldPortions: allocateQuotas(announcement) },
                 announcement.state === BackendServerState.Draining,
-            ),
-        receiveDeparture: async (id, startedAt) => {
+            )
+        ),
+        receiveDeparture: rejectAtStop(async (id: string, startedAt: number | undefined) => {
             const record = registry.createDepartureRecord(id, startedAt);
             if (record === undefined) {
                 return true;
@@ -362,15 +368,17 @@
                 storeDeparture({ id, startedAt: record.startedAt }),
             ]);
             return isReplicated && isStored;
-        },
-        changeItems: async (items, deadlineMilliseconds) =>
-            (await catalog.submit({ kind: CommandKind.Change, items }, deadlineMilliseconds)).error,
-        setEvacuation: (order, deadlineMilliseconds) =>
-            submitEvacuation({ clock, catalog }, order, deadlineMilliseconds),
-        readItems: async deadlineMilliseconds => {
+        }),
+        changeItems: rejectAtStop(async (items: readonly Item[], deadlineMilliseconds: number) =>
+            (await catalog.submit({ kind: CommandKind.Change, items }, deadlineMilliseconds)).error
+        ),
+        setEvacuation: rejectAtStop((order: EvacuationOrder, deadlineMilliseconds: number) =>
+            submitEvacuation({ clock, catalog }, order, deadlineMilliseconds)
+        ),
+        readItems: rejectAtStop(async (deadlineMilliseconds: number) => {
             await catalog.catchUp(deadlineMilliseconds);
             return catalog.items().filter(item => item.value !== undefined && item.kind !== ItemKind.Evacuation);
-        },
+        }),
         findEntries: (host, callerRegion) =>
             selectEntriesForCaller(entries.list(), {
                 callerRegion,
@@ -382,6 +390,7 @@
             (catalog.replica()?.status().members ?? []).filter(({ isVoter }) => isVoter).map(({ name }) => name),
         stop: async () => {
             await catalog.replica()?.transferLeadership();
+            await waitUntilEnded(STOP_CALLS_MS);
             stopping.abort(new Error("The control instance stops."));
             await Promise.all(tasks);
             await Promise.all([listener.close(), peers.close()]);
