Report failed writes of the log once writing works again

Now the error, the number of failed writes and of dropped lines are logged when all that was buffered could be written again. A slow reader (EAGAIN) is no failure. Without the report (its call taken out of line-writer.ts) the new scenario fails ("Expected values to be strictly deep-equal"); with it, 12 of 12 scenarios of the folder pass.

--- a/packages/hyssopfront/src/event-log/create-event-log.ts
+++ b/packages/hyssopfront/src/event-log/create-event-log.ts
@@ -5,7 +5,7 @@
 import { write } from "node:fs";
 import { promisify } from "node:util";
 import { pino } from "pino";
-import { EventLevel, type EventLog } from "./event-log.js";
+import { errorFields, EventLevel, type EventLog } from "./event-log.js";
 import { createLineWriter } from "./line-writer.js";
 
 const writeToFile = promisify(write);
@@ -55,6 +55,11 @@
         clock,
         writeBytes: async bytes => (await writeToFile(STANDARD_OUTPUT, bytes)).bytesWritten,
         onDropped,
+        onResumed: ({ failedWrites, droppedLines, error }) =>
+            logger.warn(
+                { failedWrites, droppedLines, ...error === undefined ? {} : errorFields(error) },
+                "log output resumed",
+            ),
     });
     const logger = pino({
         base: { ...fields },
--- a/packages/hyssopfront/src/event-log/event-log.feature
+++ b/packages/hyssopfront/src/event-log/event-log.feature
@@ -52,3 +52,14 @@
     Then 50 lines are dropped
     When 50 lines are written and flushed
     Then 100 lines are dropped
+
+  # Guards against failures of the log itself of which the log does not tell.
+  Scenario: Failed writes are reported once writing works again
+    Given a log destination that accepts 7 bytes at a time and fails with ENOSPC every third time
+    When 50 lines are written and flushed
+    Then failed writes with ENOSPC are reported
+
+  Scenario: A slow reader is not reported as a failure
+    Given a log destination that accepts 7 bytes at a time and fails with EAGAIN every third time
+    When 50 lines are written and flushed
+    Then no failed write is reported
--- a/packages/hyssopfront/src/event-log/event-log.steps.ts
+++ b/packages/hyssopfront/src/event-log/event-log.steps.ts
@@ -29,6 +29,8 @@
     return Buffer.concat(chunks).toString();
 };
 
+const errorCode = (error: unknown) => (error as NodeJS.ErrnoException | undefined)?.code;
+
 let lines: readonly string[];
 let loggedEvents: readonly LoggedEvent[];
 let droppedLines: number;
@@ -37,6 +39,7 @@
 let writer: LineWriter;
 let writtenLines: readonly string[];
 let destination: string;
+let resumptions: { readonly failedWrites: number; readonly code: string | undefined }[];
 let writeReport: { readonly milliseconds: number; readonly dropped: number; readonly memoryBytes: number };
 
 Given("logs in which request q7 failed at stoc-1 on entry-1 after stoc-1 drained and was ejected there", () => {
@@ -142,6 +145,7 @@
     (maximumBytes: number, code: string) => {
         let writes = 0;
         destination = "";
+        resumptions = [];
         droppedLines = 0;
         writtenLines = [];
         const chunks: Buffer[] = [];
@@ -160,6 +164,7 @@
             onDropped: () => {
                 droppedLines += 1;
             },
+            onResumed: ({ failedWrites, error }) => resumptions.push({ failedWrites, code: errorCode(error) }),
         });
     },
 );
@@ -175,3 +180,8 @@
 Then("the destination holds exactly these lines", () => assert.equal(destination, writtenLines.join("")));
 Then("no line is dropped", () => assert.equal(droppedLines, 0));
 Then("{int} lines are dropped", (count: number) => assert.equal(droppedLines, count));
+Then("failed writes with {word} are reported", (code: string) => {
+    assert.deepEqual([...new Set(resumptions.map(resumption => resumption.code))], [code]);
+    assert.ok(resumptions.every(({ failedWrites }) => failedWrites > 0));
+});
+Then("no failed write is reported", () => assert.deepEqual(resumptions, []));
--- a/packages/hyssopfront/src/event-log/line-writer.ts
+++ b/packages/hyssopfront/src/event-log/line-writer.ts
@@ -16,9 +16,19 @@
 /** Maximum duration of a flush, in milliseconds, so that a reader that has stopped cannot keep a process from exiting. */
 const FLUSH_TIMEOUT_MS = 500;
 
+/** A destination whose reader is slow is not a failure. */
+const FULL_CODES: ReadonlySet<unknown> = new Set(["EAGAIN", "EBUSY"]);
 /** The destination has no reader any more. */
 const CLOSED_CODE = "EPIPE";
 
+/** What happened to the destination until all buffered lines could be written again. */
+export type WriteTrouble = {
+    readonly failedWrites: number;
+    readonly droppedLines: number;
+    /** Last error, or `undefined` if no write failed. */
+    readonly error: unknown;
+};
+
 /** Writer of lines. */
 export type LineWriter = {
     /** Buffers a line that ends with a line feed. Never blocks and never throws. */
@@ -34,10 +44,14 @@
     readonly writeBytes: (bytes: Uint8Array) => Promise<number>;
     /** Called for each dropped line. */
     readonly onDropped: () => void;
+    /** Called once all buffered lines are written after writes have failed or lines were dropped. */
+    readonly onResumed: (trouble: WriteTrouble) => void;
 };
 
+const NO_TROUBLE: WriteTrouble = { failedWrites: 0, droppedLines: 0, error: undefined };
+
 /** Creates a writer. */
-export function createLineWriter({ clock, writeBytes, onDropped }: LineWriterOptions): LineWriter {
+export function createLineWriter({ clock, writeBytes, onDropped, onResumed }: LineWriterOptions): LineWriter {
     let lines: string[] = [];
     let bufferedBytes = 0;
     /** Whole lines that are being written, without the bytes that have been written. */
@@ -45,7 +59,12 @@
     let writing: Promise<void> | undefined;
     let isScheduled = false;
     let isClosed = false;
+    let trouble = NO_TROUBLE;
 
+    const drop = () => {
+        trouble = { ...trouble, droppedLines: trouble.droppedLines + 1 };
+        onDropped();
+    };
     const takeLines = () => {
         let bytes = 0;
         const count = lines.findIndex(line => {
@@ -60,10 +79,14 @@
         rest = new Uint8Array();
         lines = [];
         bufferedBytes = 0;
-        unwritten.forEach(() => onDropped());
+        unwritten.forEach(drop);
     };
     const onWriteFailed = async (error: unknown) => {
-        if ((error as NodeJS.ErrnoException).code === CLOSED_CODE) {
+        const code = (error as NodeJS.ErrnoException).code;
+        if (!FULL_CODES.has(code)) {
+            trouble = { ...trouble, failedWrites: trouble.failedWrites + 1, error };
+        }
+        if (code === CLOSED_CODE) {
             close();
         }
         else {
@@ -86,6 +109,11 @@
     const startWriting = () => {
         writing ??= writeAll().then(() => {
             writing = undefined;
+            if (trouble !== NO_TROUBLE && !isClosed) {
+                const ended = trouble;
+                trouble = NO_TROUBLE;
+                onResumed(ended);
+            }
         });
         return writing;
     };
@@ -103,7 +131,7 @@
         write: line => {
             const bytes = Buffer.byteLength(line);
             if (isClosed || bufferedBytes + bytes > MAXIMUM_BUFFERED_BYTES) {
-                onDropped();
+                drop();
                 return;
             }
             lines.push(line);
