--- a/packages/hyssopfront/src/command-line/processes/processes.steps.ts
+++ b/packages/hyssopfront/src/command-line/processes/processes.steps.ts
@@ -126,7 +126,7 @@
     }
 });
 
-const sendSignals = async (signals: readonly NodeJS.Signals[]) => {
+const sendSignals = async (signals: readonly ("SIGINT" | "SIGTERM")[]) => {
     const { admin, entry, process: system } = await runningSystem();
     const headers = { "content-length": BODY_BYTES };
     const sending = httpRequest(`http://${entry}/stoc/search`, { method: "GET", headers });
