Do not forward the end of a long body when a stopping entry cannot wait for the response

Cause: whether the entry can wait for a request is decided when the request is forwarded. For a streamed body that is when its head has arrived; how long the rest takes was not considered.

Each chunk of a streamed body now repeats the decision, and the caller gets 502 as soon as the answer is no. The backend server has not got the whole request then.

--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -84,6 +84,8 @@
 enum CancelReason {
     Deadline = "deadline",
     CallerDisconnected = "caller-gone",
+    /** The entry stops before the request may end. */
+    Stopping = "stopping",
 }
 
 /** Mutable state of one request while it is forwarded. */
@@ -208,6 +210,9 @@
         if (state.cancelReason === CancelReason.CallerDisconnected) {
             return ForwardOutcome.CallerDisconnected;
         }
+        if (state.cancelReason === CancelReason.Stopping) {
+            return reject(ForwardOutcome.Stopping, STOPPING_RETRY_MS);
+        }
         // A caller that allows less time than a response may take says nothing about the service.
         if (endsAt - startedAt >= route.latencyObjectiveMilliseconds) {
             throttle.recordEnd(false);
@@ -262,6 +267,14 @@
 
     const cancelDeadline = dependencies.timers.start(endsAt, () => cancel(CancelReason.Deadline));
     caller.onDisconnect = () => cancel(CancelReason.CallerDisconnected);
+    if (request.body !== undefined && !Buffer.isBuffer(request.body)) {
+        // The backend server must not get the whole of a body that has taken so long that its response would be cut off.
+        request.body.waitForCapacity = async () => {
+            if (isCutOffByStop()) {
+                cancel(CancelReason.Stopping);
+            }
+        };
+    }
     budget.deposit();
     const { affinityKey } = request;
     let isAdmitted = false;
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -471,6 +471,15 @@
     When a caller sends 1500000 bytes to orders within 600 ms and the entry stops
     Then it gets 503, and its connection is closed without a reset
 
+  # Guards against a long body that is complete too late in a stop, so that the request is cut off while it runs.
+  Scenario: A stopping entry does not forward the end of a long body if it cannot wait for the response
+    Given an entry that may take 4500 ms to stop
+    And requests to orders may take 10000 ms
+    And orders-1 of orders does not respond
+    When a caller sends 3000000 bytes to orders within 3600 ms and the entry stops
+    Then it gets 502, and its connection is closed without a reset
+    And the backend server got only a part of the body
+
   # Guards against connections that are kept for bodies that never end.
   Scenario: The connection of a request that was answered early is closed if its body does not end
     Given orders-1 of orders rejects long requests unread and responds to others
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -1014,3 +1014,9 @@
     await clock.sleep(milliseconds);
     assert.deepEqual([rawStatuses(), isRawConnectionClosed], [String(status), true]);
 });
+Then("the backend server got only a part of the body", () => {
+    const { requests } = fakeServers.get("orders-1") as FakeBackendServer;
+    const bytes = requests.join("").replaceAll(/[^y]/g, "").length;
+    const isPart = bytes > 0 && bytes < 3_000_000;
+    assert.ok(isPart, `It got ${bytes} bytes.`);
+});
