--- a/packages/hyssopfront/src/gateway-control/full-disks/full-disks.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/full-disks.steps.ts
@@ -7,7 +7,7 @@
 import { type Operator, waitFor, waitForLeader } from "./operator.steps.js";
 
 /** Groups that run at the same time. */
-const PARALLEL_GROUPS = 10;
+const PARALLEL_GROUPS = 5;
 /** Command that the leader appends without the knowledge of others. */
 const UNKNOWN_COMMAND = new Uint8Array([0xf6]);
 const ELECTION_INTERVAL_MS = 200;
@@ -45,8 +45,10 @@
 };
 
 /** Gives one leader after another entries that conflict with those of the next leader, until the fault has shown. */
-const conflictUntil = async (hasShown: () => boolean, tested: CatalogCluster) => {
+const conflictUntil = async (hasShown: () => boolean, tested: CatalogCluster, change: () => Promise<unknown>) => {
     while (!hasShown()) {
+        // Each leader gets the time to acknowledge a change. Otherwise one change could wait for many elections.
+        await change();
         const leader = await waitForLeader(tested);
         tested.setCut(leader.name, true);
         const proposal = leader.catalog.proposeLocally(UNKNOWN_COMMAND).catch(() => undefined);
@@ -70,7 +72,7 @@
             return transferUntil(hasShown, tested.cluster, victim);
         }
         return name in CONFLICT_FAULTS
-            ? conflictUntil(hasShown, tested.cluster)
+            ? conflictUntil(hasShown, tested.cluster, () => tested.operator.change())
             : waitFor(hasShown, () => "No operation failed.");
     };
     await Promise.race([show(), changes]);
