--- a/packages/hyssopfront/src/event-log/line-writer.ts
+++ b/packages/hyssopfront/src/event-log/line-writer.ts
@@ -1,6 +1,7 @@
 /**
  * Buffered writer of lines. Each line is written whole or dropped whole and counted: one write is in progress at a time,
- * and the rest of a write that was partial or failed is written before anything else.
+ * and the rest of a write that was partial or failed is written before anything else. Not left to sonic-boom, whose
+ * flush before an exit discards the rest of a write in progress and repeats a failing write without end.
  */
 import type { Clock } from "@hyssopfront/coordination";
 
