Answer pipelined requests that were forwarded before an entry stops

Seen: a caller sends two requests at once; the entry reads and forwards both, stops, and answers the first one with "Connection: close". Node then closes the connection, and the second request, which has run, ends without a response.

Cause: a stopping entry marked each response as the last one of its connection. Besides, requests were counted on the connection of their response, and Node gives a response its connection only once the one before has ended: a pipelined request did not count, so that its connection was taken for unused.

Requests are now counted on their own connection, and a response does not close it while others are in progress on it.

--- a/packages/hyssopfront/src/gateway/caller-connections.ts
+++ b/packages/hyssopfront/src/gateway/caller-connections.ts
@@ -31,6 +31,8 @@
     startRequest(message: IncomingMessage, response: ServerResponse): void;
     /** Number of requests that are in progress. */
     openRequests(): number;
+    /** Whether more than one request is in progress on the connection, because its caller pipelines them. */
+    isPipelining(connection: Socket): boolean;
     /** Stops accepting connections. Those that are open stay open. */
     stopAccepting(): void;
     /** Closes the connections on which no request is in progress, except those on which one may soon be read. */
@@ -52,7 +54,7 @@
     });
     return {
         startRequest: (message, response) => {
-            const state = response.socket ? connections.get(response.socket) : undefined;
+            const state = connections.get(message.socket);
             const count = (change: number) => {
                 openRequests += change;
                 if (state !== undefined) {
@@ -71,6 +73,7 @@
             });
         },
         openRequests: () => openRequests,
+        isPipelining: connection => (connections.get(connection)?.openRequests ?? 0) > 1,
         // The server's own `close` would also close connections whose last response has not been sent completely, because
         // Node counts them as idle.
         stopAccepting: () => void NetServer.prototype.close.call(server),
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -430,6 +430,15 @@
     When a caller sends requests to stoc until its connection is full and reads the responses 2200 ms into the stop
     Then it gets all responses with 250000 bytes each
 
+  # Guards against a request that a stop cuts off because its connection was taken for idle after the response before it.
+  Scenario: A stop waits for a request that was sent before the response to the one before it
+    Given an entry that may take 4000 ms to stop
+    And requests to orders may take 5000 ms
+    And stoc-1 of stoc responds after 400 ms
+    And orders-1 of orders responds after 3200 ms
+    When a caller sends requests to stoc and orders at once and the entry stops
+    Then the caller gets 2 responses
+
   # Guards against requests that are read on a connection that became idle at the end of a stop, and end with the process.
   Scenario: No connection of a caller is open when the entry has stopped
     Given an entry that may take 3000 ms to stop
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -149,6 +149,7 @@
     "responds after 20 ms": delayed(20, respond),
     "responds after 100 ms": delayed(100, respond),
     "responds after 400 ms": delayed(400, respond),
+    "responds after 3200 ms": delayed(3_200, respond),
     "responds with the header bad name": respondWithHeader("bad name: x"),
     "responds with the header X-Y and a space": respondWithHeader("X-Y : 1"),
     "responds with the header Transfer Encoding": respondWithHeader("Transfer Encoding: chunked"),
@@ -1014,3 +1015,13 @@
     await clock.sleep(milliseconds);
     assert.deepEqual([rawStatuses(), isRawConnectionClosed], [String(status), true]);
 });
+When("a caller sends requests to {word} and {word} at once and the entry stops", async (one: string, other: string) => {
+    connectRaw();
+    rawConnection.write(createRequest(one) + createRequest(other));
+    await waitUntil(() => totalRequests() === 2);
+    await gateway.stop();
+});
+Then("the caller gets {int} responses", async (count: number) => {
+    await waitUntil(() => isRawConnectionClosed);
+    assert.equal(countRawResponses(), count);
+});
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -2,6 +2,7 @@
  * Handles one request of a caller from its arrival to its response.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { errorFields, EventLevel } from "../event-log/event-log.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
@@ -32,6 +33,8 @@
     readonly acceptQueue: AcceptQueue;
     readonly catalog: CatalogView;
     readonly isCatalogComplete: () => boolean;
+    /** Whether more than one request is in progress on the connection of a caller. */
+    readonly isPipelining: (connection: Socket) => boolean;
     /** Selects the service of the next request of a route. */
     readonly nextService: (route: NamedRoute) => string;
 };
@@ -55,8 +58,9 @@
     const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0);
     const id = String(message.headers[headerNames.requestId] ?? "");
     // Callers should connect to other entries once the stop has begun. A connection that is closed while its caller still
-    // sends is reset, and the response may be lost.
-    const closesConnection = () => dependencies.currentStop() !== undefined && message.complete;
+    // sends is reset, and the response may be lost. Responses to pipelined requests follow on the same connection.
+    const closesConnection = () =>
+        dependencies.currentStop() !== undefined && message.complete && !dependencies.isPipelining(message.socket);
     const caller = createCallerResponse(response, message.method ?? "GET", id, headerNames, closesConnection);
     const respond = (status: number, reason: string, retryAfterMilliseconds?: number) => {
         log(EventLevel.Warning, "local response sent", { request: id, status, reason, path: message.url });
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -176,6 +176,7 @@
         evacuationGeneration: catalog.evacuationGeneration,
     });
     const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
+    const connections = trackCallerConnections(server, clock);
     const dependencies: ServeDependencies = {
         clock,
         counters: metrics,
@@ -199,11 +200,11 @@
         }),
         catalog,
         isCatalogComplete: () => feedState.isComplete,
+        isPipelining: connection => connections.isPipelining(connection),
         currentStop: () => currentStop,
         nextService,
     };
 
-    const connections = trackCallerConnections(server, clock);
     const handleRequest = rejectInvalidHeaders(server, (message, response) => {
         connections.startRequest(message, response);
         response.once("finish", () => discardRest(message));
