--- a/packages/coordination/src/consensus/consensus.feature
+++ b/packages/coordination/src/consensus/consensus.feature
@@ -102,6 +102,35 @@
     When the disks of two followers are wiped and they restart
     Then they are voters with their new stores within 4000 ms, and there are never fewer than 4 voters
 
+  # Guards against a lost message after which the second voter is replaced before the first one has returned.
+  Scenario Outline: Two voters whose disks were wiped are restored one after the other while messages are lost
+    Given a group of 5 replicas with seed <seed>
+    And 20 proposals are acknowledged
+    When <percent> percent of the messages are lost
+    And the disks of two followers are wiped and they restart
+    Then they are voters with their new stores within 8000 ms, and there are never fewer than 4 voters
+
+    Examples:
+      | seed | percent |
+      | 35 | 5 |
+      | 37 | 5 |
+      | 38 | 5 |
+      | 39 | 5 |
+      | 40 | 5 |
+      | 41 | 5 |
+      | 35 | 10 |
+      | 37 | 10 |
+      | 38 | 10 |
+      | 39 | 10 |
+      | 40 | 10 |
+      | 41 | 10 |
+      | 35 | 20 |
+      | 37 | 20 |
+      | 38 | 20 |
+      | 39 | 20 |
+      | 40 | 20 |
+      | 41 | 20 |
+
   # Guards against a replica that stays a learner for good, and keeps other voters from being restored.
   Scenario: A voter whose disk is wiped again before it is a voter again is restored
     Given a group of 5 replicas with seed 36
--- a/packages/coordination/src/consensus/consensus.steps.ts
+++ b/packages/coordination/src/consensus/consensus.steps.ts
@@ -308,6 +308,10 @@
     },
 );
 
+When("{int} percent of the messages are lost", (percent: number) => {
+    group.conditions.loss = percent / 100;
+});
+
 When("the disks of both followers are wiped and they restart while the leader is isolated", () => {
     const wiped = followers();
     group.isolate(group.leader()!.name);
--- a/packages/coordination/src/consensus/supervision.ts
+++ b/packages/coordination/src/consensus/supervision.ts
@@ -59,10 +59,8 @@
     const members = contexts.currentMembers(context);
     const storeIdOf = (member: Member) => leadership.peers.get(member.name)?.storeId ?? member.storeId;
     // One at a time: fewer voters would acknowledge changes that fewer disks hold.
-    const next =
-        members.find(member =>
-            member.isReturning && leadership.peers.get(member.name)?.respondingSince !== undefined
-        ) ?? members.find(member => storeIdOf(member) !== member.storeId);
+    const next = members.find(member => member.isReturning && !isLost(context, leadership, member.name))
+        ?? members.find(member => storeIdOf(member) !== member.storeId);
     if (next === undefined) {
         return undefined;
     }
@@ -76,6 +74,13 @@
     return isCaughtUp ? changeMembership(context, { kind: MembershipChange.Promote, name }) : undefined;
 }
 
+/** Whether no request to the member has succeeded for the longest election timeout of this leadership. */
+function isLost(context: ReplicaContext, leadership: Leadership, name: string): boolean {
+    const acknowledgedSentAt = leadership.peers.get(name)?.acknowledgedSentAt ?? -Infinity;
+    const since = Math.max(acknowledgedSentAt, leadership.leaseHeldSince ?? Infinity);
+    return contexts.now(context) - since > context.options.electionTimeoutMilliseconds.maximum;
+}
+
 /** Whether all requests to the peer have succeeded for a while; a peer with intermittent failures is not stable. */
 function isStable(context: ReplicaContext, peer: PeerProgress): boolean {
     return peer.respondingSince !== undefined && contexts.now(context) - peer.respondingSince >= STABLE_AFTER_MS;
