Make the ancestors of a data folder durable before the first voters are stored

Seen in a trial with the file system that loses power (with recursive mkdir added): a control instance whose data folder lacks two or more levels starts with an empty log and another store id after a loss of power, although it had acknowledged an entry.

Cause: the list of the first voters creates the folder with a recursive mkdir before the storage is opened. The storage then finds an existing folder and syncs the entry in its parent only.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -46,7 +46,7 @@
 } from "./publication/messages.js";
 export { createPublication, type Publication, type PublicationChange } from "./publication/publication.js";
 export { servePublication } from "./publication/serve-publication.js";
-export { type FileSystem, NODE_FILE_SYSTEM, readChecked, replaceFile } from "./storage/file-system.js";
+export { createFolder, type FileSystem, NODE_FILE_SYSTEM, readChecked, replaceFile } from "./storage/file-system.js";
 export type { HardState, LogStorage, StoredEntry, StoredSnapshot } from "./storage/log-storage.js";
 export { type LogStorageOptions, openLogStorage } from "./storage/open-log-storage.js";
 export { StorageError, StorageStep } from "./storage/storage-error.js";
--- a/packages/hyssopfront/src/gateway-control/initial-voters.ts
+++ b/packages/hyssopfront/src/gateway-control/initial-voters.ts
@@ -2,7 +2,14 @@
  * Stores the voters of a bootstrapped group on disk. An instance that is killed before it has synced the first log
  * entry must restart as one of these voters, although it is then configured to join an existing group.
  */
-import { type FileSystem, readChecked, replaceFile, StorageError, StorageStep } from "@hyssopfront/coordination";
+import {
+    createFolder,
+    type FileSystem,
+    readChecked,
+    replaceFile,
+    StorageError,
+    StorageStep,
+} from "@hyssopfront/coordination";
 import { join } from "node:path";
 
 const FILE_NAME = "first-voters";
@@ -23,7 +30,7 @@
 ): Promise<readonly string[]> {
     const path = join(folder, FILE_NAME);
     try {
-        await fileSystem.mkdir(folder, { recursive: true });
+        await createFolder(fileSystem, folder);
         const stored = await readChecked(fileSystem, path, StorageStep.Open);
         if (stored !== undefined) {
             return JSON.parse(stored.toString("utf8")) as string[];
