--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -1025,3 +1025,9 @@
     await waitUntil(() => isRawConnectionClosed);
     assert.equal(countRawResponses(), count);
 });
+Then("the backend server got only a part of the body", () => {
+    const { requests } = fakeServers.get("orders-1") as FakeBackendServer;
+    const bytes = requests.join("").replaceAll(/[^y]/g, "").length;
+    const isPart = bytes > 0 && bytes < 3_000_000;
+    assert.ok(isPart, `It got ${bytes} bytes.`);
+});
