--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -243,7 +243,10 @@
         });
     };
 
+    /** Whether the backend server of the current attempt has begun to respond. */
+    let hasResponseHead = false;
     const send = async (server: BackendServer) => {
+        hasResponseHead = false;
         state.dispatches += 1;
         state.current = dispatch({
             clock,
@@ -252,7 +255,10 @@
             headerNames: dependencies.headerNames,
             connectionLimit: dependencies.connectionLimit(service),
             endsAt,
-            onResponseHead: head => applyServerNotices(dependencies, server, head),
+            onResponseHead: head => {
+                hasResponseHead = true;
+                applyServerNotices(dependencies, server, head);
+            },
             sink: caller.sink,
         });
         const result = await state.current.result;
@@ -270,7 +276,7 @@
     if (request.body !== undefined && !Buffer.isBuffer(request.body)) {
         // The backend server must not get the whole of a body that has taken so long that its response would be cut off.
         request.body.waitForCapacity = async () => {
-            if (isCutOffByStop()) {
+            if (!hasResponseHead && isCutOffByStop()) {
                 cancel(CancelReason.Stopping);
             }
         };
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -489,6 +489,14 @@
     Then it gets 502, and its connection is closed without a reset
     And the backend server got only a part of the body
 
+  # Guards against an early response that a stopping entry breaks off, because the rest of the body arrives late.
+  Scenario: A stopping entry sends the whole of a response that began before the body was complete
+    Given an entry that may take 4500 ms to stop
+    And requests to orders may take 10000 ms
+    And orders-1 of orders begins a long response and ends it after 3200 ms
+    When a caller sends 3000000 bytes to orders within 3600 ms and the entry stops
+    Then the caller gets the whole response
+
   # Guards against connections that are kept for bodies that never end.
   Scenario: The connection of a request that was answered early is closed if its body does not end
     Given orders-1 of orders rejects long requests unread and responds to others
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -120,6 +120,7 @@
         ]),
     );
 /** Bytes and ids of the requests that are being read on each connection. */
+const answeredEarly = new WeakSet<Socket>();
 const partialRequests = new WeakMap<Socket, { readonly id: string; readonly start: number }>();
 /** Responds once a request with a body of this length has been read. */
 const respondToBody = (length: number): Behavior => (socket, id) => {
@@ -228,6 +229,15 @@
     },
     "rejects long requests unread and responds to others": respondUnread(rejectRequest),
     "responds to long requests unread and to others": respondUnread(respond),
+    "begins a long response and ends it after 3200 ms": (socket, id) => {
+        if (answeredEarly.has(socket)) {
+            return;
+        }
+        answeredEarly.add(socket);
+        socket.write(head("200 OK", id, [SIGNATURE_HEADER, `content-length: ${LONG_RESPONSE_BYTES}`]));
+        socket.write("x".repeat(LONG_RESPONSE_BYTES - 1));
+        setTimeout(() => socket.write("x"), 3_200);
+    },
     "reads a body of 3000000 bytes and responds": respondToBody(3_000_000),
     "reads a body of 900000 bytes and responds": respondToBody(900_000),
     "does not respond": () => undefined,
