--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -120,6 +120,7 @@
         ]),
     );
 /** Bytes and ids of the requests that are being read on each connection. */
+const answeredEarly = new WeakSet<Socket>();
 const partialRequests = new WeakMap<Socket, { readonly id: string; readonly start: number }>();
 /** Responds once a request with a body of this length has been read. */
 const respondToBody = (length: number): Behavior => (socket, id) => {
@@ -228,6 +229,15 @@
     },
     "rejects long requests unread and responds to others": respondUnread(rejectRequest),
     "responds to long requests unread and to others": respondUnread(respond),
+    "begins a long response and ends it after 3200 ms": (socket, id) => {
+        if (answeredEarly.has(socket)) {
+            return;
+        }
+        answeredEarly.add(socket);
+        socket.write(head("200 OK", id, [SIGNATURE_HEADER, `content-length: ${LONG_RESPONSE_BYTES}`]));
+        socket.write("x".repeat(LONG_RESPONSE_BYTES - 1));
+        setTimeout(() => socket.write("x"), 3_200);
+    },
     "reads a body of 3000000 bytes and responds": respondToBody(3_000_000),
     "reads a body of 900000 bytes and responds": respondToBody(900_000),
     "does not respond": () => undefined,
@@ -1015,12 +1025,6 @@
     await clock.sleep(milliseconds);
     assert.deepEqual([rawStatuses(), isRawConnectionClosed], [String(status), true]);
 });
-Then("the backend server got only a part of the body", () => {
-    const { requests } = fakeServers.get("orders-1") as FakeBackendServer;
-    const bytes = requests.join("").replaceAll(/[^y]/g, "").length;
-    const isPart = bytes > 0 && bytes < 3_000_000;
-    assert.ok(isPart, `It got ${bytes} bytes.`);
-});
 When("a caller sends requests to {word} and {word} at once and the entry stops", async (one: string, other: string) => {
     connectRaw();
     rawConnection.write(createRequest(one) + createRequest(other));
@@ -1031,3 +1035,9 @@
     await waitUntil(() => isRawConnectionClosed);
     assert.equal(countRawResponses(), count);
 });
+Then("the backend server got only a part of the body", () => {
+    const { requests } = fakeServers.get("orders-1") as FakeBackendServer;
+    const bytes = requests.join("").replaceAll(/[^y]/g, "").length;
+    const isPart = bytes > 0 && bytes < 3_000_000;
+    assert.ok(isPart, `It got ${bytes} bytes.`);
+});
