Do not wait for a returning voter whose disk hangs

A returning voter is now passed over when it has stored nothing for two of the longest election timeouts, whether it answers or not; it is still promoted as soon as it has caught up. Failed restorations, which are repeated, are now counted.

--- a/packages/coordination/src/consensus/consensus.feature
+++ b/packages/coordination/src/consensus/consensus.feature
@@ -131,6 +131,14 @@
       | 40 | 20 |
       | 41 | 20 |
 
+  # Guards against a returning voter whose disk hangs and which keeps all other voters from being restored.
+  Scenario: A voter whose disk was wiped is restored although the disk of another one hangs
+    Given a group of 5 replicas with seed 35
+    And 20 proposals are acknowledged
+    When the disks of two followers are wiped and they restart
+    And the disk of the first learner hangs
+    Then the other one is a voter with its new store within 4000 ms
+
   # Guards against a replica that stays a learner for good, and keeps other voters from being restored.
   Scenario: A voter whose disk is wiped again before it is a voter again is restored
     Given a group of 5 replicas with seed 36
--- a/packages/coordination/src/consensus/consensus.steps.ts
+++ b/packages/coordination/src/consensus/consensus.steps.ts
@@ -312,6 +312,23 @@
     group.conditions.loss = percent / 100;
 });
 
+When("the disk of the first learner hangs", async () => {
+    const learner = () => group.leader()?.replica!.status().members.find(member => !member.isVoter);
+    await group.until(() => learner() !== undefined, 4_000, "A wiped replica is a learner", 1);
+    faulty = group.nodes.get(learner()!.name)!;
+    faulty.disk.isHanging = true;
+});
+
+Then("the other one is a voter with its new store within {int} ms", async (limit: number) => {
+    const areVoters = () =>
+        [...group.nodes.values()].filter(node => node !== faulty).every(({ name, disk }) =>
+            group.leader()?.replica!.status().members.some(member =>
+                member.name === name && member.isVoter && member.storeId === disk.storeId
+            ) ?? false
+        );
+    await group.until(areVoters, limit, "The other replicas are voters");
+});
+
 When("the disks of both followers are wiped and they restart while the leader is isolated", () => {
     const wiped = followers();
     group.isolate(group.leader()!.name);
--- a/packages/coordination/src/consensus/context.ts
+++ b/packages/coordination/src/consensus/context.ts
@@ -20,6 +20,8 @@
     nextIndex: number;
     /** Index of the last entry that the peer is known to hold durably. */
     matchIndex: number;
+    /** Monotonic time at which the peer last stored something that it lacked, in milliseconds. */
+    progressedAt: number;
     /** Monotonic time at which the latest acknowledged request was sent, in milliseconds. */
     acknowledgedSentAt: number;
     /** Monotonic time since which all requests to the peer have succeeded; undefined after a failed request. */
--- a/packages/coordination/src/consensus/replication.ts
+++ b/packages/coordination/src/consensus/replication.ts
@@ -43,6 +43,7 @@
         // Starts at the last entry, so that it is sent as a probe even without new proposals.
         nextIndex: context.storage.lastIndex,
         matchIndex: 0,
+        progressedAt: contexts.now(context),
         acknowledgedSentAt: -Infinity,
         respondingSince: undefined,
         preference: 0,
@@ -209,6 +210,7 @@
     }
     if (reply.index > peer.matchIndex) {
         peer.matchIndex = reply.index;
+        peer.progressedAt = contexts.now(context);
         peer.nextIndex = Math.max(peer.nextIndex, reply.index + 1);
         advanceCommitIndex(context, leadership);
     }
@@ -239,6 +241,7 @@
     if (peer.storeId !== reply.storeId) {
         peer.storeId = reply.storeId;
         peer.matchIndex = 0;
+        peer.progressedAt = contexts.now(context);
         peer.sentCommitIndex = 0;
         peer.acknowledgedSentAt = -Infinity;
         peer.isProbing = true;
@@ -266,6 +269,7 @@
             peer.retryAt = contexts.now(context) + context.options.heartbeatMilliseconds;
             return;
         }
+        peer.progressedAt = contexts.now(context);
         if (reply.isInstalled) {
             peer.matchIndex = Math.max(peer.matchIndex, snapshot.index);
             peer.nextIndex = Math.max(peer.nextIndex, snapshot.index + 1);
--- a/packages/coordination/src/consensus/simulated-disk.steps.ts
+++ b/packages/coordination/src/consensus/simulated-disk.steps.ts
@@ -16,6 +16,8 @@
     unsynced: ((content: DiskContent) => void)[];
     /** When set, writes fail with this error message. */
     fault?: string;
+    /** When set, writes do not end. */
+    isHanging?: boolean;
 };
 
 type DiskContent = Pick<SimulatedDisk, "entries" | "hardState" | "snapshot">;
@@ -55,6 +57,9 @@
         while (queue.length > 0) {
             const batch = queue.slice();
             await clock.sleep(1 + 4 * random());
+            while (disk.isHanging === true && !isCrashed) {
+                await clock.sleep(10);
+            }
             if (isCrashed) {
                 return;
             }
--- a/packages/coordination/src/consensus/supervision.ts
+++ b/packages/coordination/src/consensus/supervision.ts
@@ -39,7 +39,9 @@
         if (preferred !== undefined && time - leadership.lastTransferAt > TRANSFER_RETRY_INTERVAL_MS) {
             await transferLeadership(context, preferred.name);
         }
-        restoring ??= restoreWipedMember(context, leadership)?.catch(() => undefined).finally(() => {
+        restoring ??= restoreWipedMember(context, leadership)?.catch(() =>
+            context.options.counters.increment("consensus.failed_restorations")
+        ).finally(() => {
             restoring = undefined;
         });
         const { heartbeatMilliseconds } = context.options;
@@ -49,8 +51,9 @@
 
 /**
  * Makes the next membership change that restores a member whose disk was wiped: it becomes a learner with its new store
- * and, if it was a voter, a voter again once it has caught up. Returns undefined when there is nothing to do; the supervision retries a
- * failed change. There is no waiting period: until it is a voter again, the group tolerates one loss less.
+ * and, if it was a voter, a voter again once it has caught up. Returns undefined when there is nothing to do; the
+ * supervision retries a failed change. There is no waiting period: until it is a voter again, the group tolerates one
+ * loss less.
  */
 function restoreWipedMember(context: ReplicaContext, leadership: Leadership): Promise<void> | undefined {
     if (!context.options.rejoinsWipedVoters || !holdsLease(context)) {
@@ -58,8 +61,13 @@
     }
     const members = contexts.currentMembers(context);
     const storeIdOf = (member: Member) => leadership.peers.get(member.name)?.storeId ?? member.storeId;
+    const isCaughtUp = (member: Member) =>
+        storeIdOf(member) === member.storeId
+        && (leadership.peers.get(member.name)?.matchIndex ?? 0) >= context.commitIndex;
+    const returning = members.filter(member => member.isReturning);
     // One at a time: fewer voters would acknowledge changes that fewer disks hold.
-    const next = members.find(member => member.isReturning && !isLost(context, leadership, member.name))
+    const next = returning.find(isCaughtUp)
+        ?? returning.find(member => !isHeldUp(context, leadership, member.name))
         ?? members.find(member => storeIdOf(member) !== member.storeId);
     if (next === undefined) {
         return undefined;
@@ -70,15 +78,14 @@
         const isReturning = next.isVoter || next.isReturning;
         return changeMembership(context, { kind: MembershipChange.AddLearner, name, storeId, isReturning });
     }
-    const isCaughtUp = (leadership.peers.get(name)?.matchIndex ?? 0) >= context.commitIndex;
-    return isCaughtUp ? changeMembership(context, { kind: MembershipChange.Promote, name }) : undefined;
+    return isCaughtUp(next) ? changeMembership(context, { kind: MembershipChange.Promote, name }) : undefined;
 }
 
-/** Whether no request to the member has succeeded for the longest election timeout of this leadership. */
-function isLost(context: ReplicaContext, leadership: Leadership, name: string): boolean {
-    const acknowledgedSentAt = leadership.peers.get(name)?.acknowledgedSentAt ?? -Infinity;
-    const since = Math.max(acknowledgedSentAt, leadership.leaseHeldSince ?? Infinity);
-    return contexts.now(context) - since > context.options.electionTimeoutMilliseconds.maximum;
+/** Whether the member has stored nothing for two of the longest election timeouts of this leadership. */
+function isHeldUp(context: ReplicaContext, leadership: Leadership, name: string): boolean {
+    const progressedAt = leadership.peers.get(name)?.progressedAt ?? -Infinity;
+    const since = Math.max(progressedAt, leadership.leaseHeldSince ?? Infinity);
+    return contexts.now(context) - since > 2 * context.options.electionTimeoutMilliseconds.maximum;
 }
 
 /** Whether all requests to the peer have succeeded for a while; a peer with intermittent failures is not stable. */
