--- a/packages/hyssopfront/src/gateway-control/full-disks/full-disks.feature
+++ b/packages/hyssopfront/src/gateway-control/full-disks/full-disks.feature
@@ -26,3 +26,10 @@
     When the disks are full for 700 ms one after another in 3 rounds, and then 5 times that of the leader
     Then changes were acknowledged in at most 4 s
     And all instances have them in their files
+
+  # Guards against a change that waits for several elections, as the disk of each new leader is full at once.
+  Scenario: The disk of each leader is full as soon as it is elected
+    Given 5 instances
+    When the disk of the leader is full for 700 ms 5 times, each time right after an election
+    Then changes were acknowledged in at most 4 s
+    And all instances have them in their files
--- a/packages/hyssopfront/src/gateway-control/full-disks/full-disks.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/full-disks.steps.ts
@@ -143,28 +143,44 @@
 Given("{int} instances", async (count: number) => {
     ({ cluster, operator } = await startCluster(count));
 });
+const changeWhileFilling = async (
+    milliseconds: number,
+    fillDisks: (fill: (instance: Instance) => Promise<void>) => Promise<void>,
+) => {
+    const changing = new AbortController();
+    const changes = operator.changeUntil(changing.signal);
+    changes.catch(() => undefined);
+    await fillDisks(async instance => {
+        instance.disk.fill(() => true);
+        await Promise.race([clock.sleep(milliseconds), changes]);
+        instance.disk.free();
+    });
+    changing.abort();
+    slowest = await changes;
+};
+
 When(
     "the disks are full for {int} ms one after another in {int} rounds, and then {int} times that of the leader",
-    async (milliseconds: number, rounds: number, leaders: number) => {
-        const changing = new AbortController();
-        const changes = operator.changeUntil(changing.signal);
-        changes.catch(() => undefined);
-        const fill = async (instance: Instance) => {
-            instance.disk.fill(() => true);
-            await Promise.race([clock.sleep(milliseconds), changes]);
-            instance.disk.free();
-        };
-        for (const instance of Array.from({ length: rounds }, () => [...cluster.instances.values()]).flat()) {
-            await fill(instance);
-        }
-        for (let count = 0; count < leaders; count += 1) {
-            // The next leader gets the time to acknowledge a change. Otherwise one change could wait for two elections.
-            await operator.change();
-            await fill(await waitForLeader(cluster));
-        }
-        changing.abort();
-        slowest = await changes;
-    },
+    (milliseconds: number, rounds: number, leaders: number) =>
+        changeWhileFilling(milliseconds, async fill => {
+            for (const instance of Array.from({ length: rounds }, () => [...cluster.instances.values()]).flat()) {
+                await fill(instance);
+            }
+            for (let count = 0; count < leaders; count += 1) {
+                // The next leader gets the time to acknowledge a change, so that no change waits for two elections.
+                await operator.change();
+                await fill(await waitForLeader(cluster));
+            }
+        }),
+);
+When(
+    "the disk of the leader is full for {int} ms {int} times, each time right after an election",
+    (milliseconds: number, leaders: number) =>
+        changeWhileFilling(milliseconds, async fill => {
+            for (let count = 0; count < leaders; count += 1) {
+                await fill(await waitForLeader(cluster));
+            }
+        }),
 );
 Then("changes were acknowledged in at most {int} s", async (seconds: number) => {
     const { milliseconds, description } = slowest;
