Count the time since the signal towards a stop, also when it came during the start

Found in review: a stop that was requested while the entry started had its full time from the end of the start on, but the process exits at a time that counts from the signal, and cut off what the entry still accepted. A forced exit also waited up to 500 ms for the log, beyond the grace period.

--- a/packages/hyssopfront/src/event-log/create-event-log.ts
+++ b/packages/hyssopfront/src/event-log/create-event-log.ts
@@ -18,8 +18,8 @@
 /** Event log of a process, and the function that flushes its buffer. */
 export type ProcessEventLog = {
     readonly log: EventLog;
-    /** Writes the buffered lines, before the process exits. Resolves after 500 ms at the latest, and never rejects. */
-    flush(): Promise<void>;
+    /** Writes the buffered lines, before the process exits. Resolves after a timeout, by default 500 ms; never rejects. */
+    flush(timeoutMilliseconds?: number): Promise<void>;
 };
 
 /** Returns a function that is true for at most `maximum` calls per second. */
--- a/packages/hyssopfront/src/event-log/line-writer.ts
+++ b/packages/hyssopfront/src/event-log/line-writer.ts
@@ -14,7 +14,7 @@
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
 /** Pause after a failed write, in milliseconds. */
 const RETRY_PAUSE_MS = 100;
-/** Maximum duration of a flush, in milliseconds, so that a reader that has stopped cannot keep a process from exiting. */
+/** Default of the maximum duration of a flush, in milliseconds, so that a reader that has stopped cannot keep a process from exiting. */
 const FLUSH_TIMEOUT_MS = 500;
 
 /** A destination whose reader is slow is not a failure. */
@@ -34,8 +34,8 @@
 export type LineWriter = {
     /** Buffers a line that ends with a line feed. Never blocks and never throws. */
     write(line: string): void;
-    /** Writes the buffered lines. Resolves once that is done, or after 500 ms. Never rejects. */
-    flush(): Promise<void>;
+    /** Writes the buffered lines. Resolves once that is done, or after a timeout, by default 500 ms. Never rejects. */
+    flush(timeoutMilliseconds?: number): Promise<void>;
 };
 
 /** Dependencies of a writer. */
@@ -144,7 +144,7 @@
                 scheduleWrite();
             }
         },
-        flush: async () => {
+        flush: async (timeoutMilliseconds = FLUSH_TIMEOUT_MS) => {
             const timeout = new AbortController();
             const writeRemaining = async () => {
                 while (rest.length > 0 || lines.length > 0) {
@@ -153,7 +153,7 @@
             };
             await Promise.race([
                 writeRemaining(),
-                clock.sleep(FLUSH_TIMEOUT_MS, timeout.signal).catch(() => undefined),
+                clock.sleep(timeoutMilliseconds, timeout.signal).catch(() => undefined),
             ]);
             timeout.abort();
         },
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -439,6 +439,12 @@
     When a caller sends requests to stoc and orders at once and the entry stops
     Then the caller gets 2 responses
 
+  # Guards against requests that the exit of the process cuts off, because the stop began later than its time.
+  Scenario: The time that has passed since a stop was requested counts towards it
+    Given an entry that may take 2500 ms to stop
+    When the entry begins its stop 1500 ms after it was requested
+    Then it has stopped within 1000 ms
+
   # Guards against requests that are read on a connection that became idle at the end of a stop, and end with the process.
   Scenario: No connection of a caller is open when the entry has stopped
     Given an entry that may take 3000 ms to stop
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -1041,3 +1041,13 @@
     const isPart = bytes > 0 && bytes < 3_000_000;
     assert.ok(isPart, `It got ${bytes} bytes.`);
 });
+let stopMilliseconds: number;
+When("the entry begins its stop {int} ms after it was requested", async (elapsedMilliseconds: number) => {
+    const startedAt = clock.monotonicMilliseconds();
+    stopPromise = gateway.stop(elapsedMilliseconds);
+    await stopPromise;
+    stopMilliseconds = clock.monotonicMilliseconds() - startedAt;
+});
+Then("it has stopped within {int} ms", (milliseconds: number) => {
+    assert.ok(stopMilliseconds <= milliseconds, `It took ${stopMilliseconds} ms.`);
+});
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -82,8 +82,10 @@
     /**
      * Drains the entry and closes it: sends callers to other entries and waits for in-flight requests. Resolves within
      * `stopMilliseconds`, even if requests are still in flight.
+     *
+     * @param elapsedMilliseconds How long ago the stop was requested, in milliseconds, which counts towards its duration.
      */
-    stop(): Promise<void>;
+    stop(elapsedMilliseconds?: number): Promise<void>;
 };
 
 /**
@@ -230,8 +232,8 @@
     return {
         isReady,
         openRequests: connections.openRequests,
-        stop: async () => {
-            const startedAt = clock.monotonicMilliseconds();
+        stop: async (elapsedMilliseconds = 0) => {
+            const startedAt = clock.monotonicMilliseconds() - elapsedMilliseconds;
             const servesUntil = startedAt + options.stopMilliseconds - STOP_MARGIN_MS;
             currentStop = { startedAt, servesUntil };
             log(EventLevel.Info, "entry stopping", { openRequests: connections.openRequests() });
