--- a/packages/coordination/src/peers/listen-for-peers.ts
+++ b/packages/coordination/src/peers/listen-for-peers.ts
@@ -6,6 +6,7 @@
 import { createServer as createTlsServer, type Server as TlsServer } from "node:tls";
 import type { Clock } from "../clock/clock.js";
 import { type Counters, NO_COUNTERS } from "../counters/counters.js";
+import { listen } from "../listening/listen.js";
 import {
     createConnection,
     HEARTBEAT_INTERVAL_MS,
@@ -67,7 +68,7 @@
  * Opens a listening socket and serves the peers that connect to it.
  *
  * @returns The listener, once its socket is listening.
- * @throws Error when the address is in use or a TLS file cannot be read.
+ * @throws ListenError when the address is in use; Error when a TLS file cannot be read.
  */
 export async function listenForPeers(options: ListenForPeersOptions): Promise<PeerListener> {
     const { clock } = options;
@@ -134,8 +135,7 @@
         const task = serveConnection(socket).finally(() => tasks.delete(task));
         tasks.add(task);
     });
-    server.listen(options.port, options.address);
-    await once(server, "listening");
+    await listen(server, { listener: "peers", address: options.address, port: options.port });
     // Emitted, for instance, when no file descriptor is left for an accepted connection. The server keeps listening.
     server.on("error", () => counters.increment("peers.accept_failures"));
     const tlsWatcher = options.tls === undefined || material === undefined ? Promise.resolve() : watchTlsMaterial({
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -1,9 +1,9 @@
 /**
  * Runs an entry of the gateway, which accepts callers' requests and forwards them to backend servers.
  */
-import type { Clock, PeerIdentity } from "@hyssopfront/coordination";
+import { type Clock, listen, type PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
-import { createServer, type Server } from "node:http";
+import { createServer } from "node:http";
 import type { EntryReport } from "../entry-selection/connected-entries.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { createFeedFollower } from "../feed/follow-feeds.js";
@@ -91,7 +91,7 @@
 /**
  * Starts an entry and resolves once it listens for callers.
  *
- * @throws The error of the server if it cannot listen at the address and port.
+ * @throws ListenError when it cannot listen at the address and port.
  */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
     const { clock, log, metrics, headerNames } = options;
@@ -225,7 +225,7 @@
         server.keepAliveTimeout = Math.min(MAXIMUM_TIMER_MS, idleTimeoutMilliseconds);
         server.headersTimeout = Math.min(MAXIMUM_TIMER_MS, headerTimeoutMilliseconds);
     };
-    await listen(server, options.address, options.callerPort);
+    await listen(server, { listener: "callers", address: options.address, port: options.callerPort });
     feeds.follow(controlNames());
     log(EventLevel.Info, "entry listening", { address: options.address, port: options.callerPort });
 
@@ -274,13 +274,3 @@
         return zoneDistance + regionDistance + hash(`${name} ${instance.name}`) / HASH_RANGE;
     };
 }
-
-function listen(server: Server, address: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(port, address, () => {
-            server.off("error", reject);
-            resolve();
-        });
-    });
-}
