Read what callers have sent before a stop closes their connections

Callers saw connections reset, long after they had sent a whole request, when the entry stopped. The stop closes connections that are idle by the entry's own books, from a timer. Timers run before connections are read, so after a pause of the process (garbage collection, a busy or throttled core) a request that had waited in the kernel was reset unread. Likewise, Node accepts one connection in each turn of the event loop, and closing the listening socket resets those that wait in its queue, although their requests may have been there for as long as the pause.

Evidence, before the fix: the new tests fail with "read ECONNRESET" in place of "HTTP/1.1 200 OK", for the kept connection and for nearly all of 40 waiting ones.

Now the event loop reads all that has arrived before unused connections are closed, and accepts connections until a turn brings none, or the time for requests is over, before the listening socket is closed. What is left is a request that arrives within the same turn as the close; its caller learns of it at once.

--- a/packages/hyssopfront/src/gateway/caller-connections.ts
+++ b/packages/hyssopfront/src/gateway/caller-connections.ts
@@ -33,19 +33,39 @@
     openRequests(): number;
     /** Whether more than one request is in progress on the connection, because its caller pipelines them. */
     isPipelining(connection: Socket): boolean;
-    /** Stops accepting connections. Those that are open stay open. */
-    stopAccepting(): void;
-    /** Closes the connections on which no request is in progress, except those on which one may soon be read. */
-    closeUnused(): void;
+    /**
+     * Stops accepting connections once those that wait in the queue of the kernel are accepted, because closing a
+     * listening socket resets the connections in its queue. Those that are open stay open.
+     *
+     * @param endsAt Time at which the queue is closed even if it never becomes empty, in monotonic milliseconds.
+     */
+    stopAccepting(endsAt: number): Promise<void>;
+    /**
+     * Reads what callers have sent, and closes the connections on which no request is in progress, except those on which
+     * one may soon be read.
+     */
+    closeUnused(): Promise<void>;
     /** Number of open connections. */
     count(): number;
 };
 
-/** Tracks the connections of a server from now on. */
-export function trackCallerConnections(server: Server, clock: Clock): CallerConnections {
+/**
+ * Tracks the connections of a server from now on.
+ *
+ * @param readPendingData Lets the event loop read all that has arrived. Timers run before connections are read, so
+ *     after a pause of the process a request may have waited unread for as long as the pause lasted.
+ */
+export function trackCallerConnections(
+    server: Server,
+    clock: Clock,
+    readPendingData: () => Promise<void>,
+): CallerConnections {
     const connections = new Map<Socket, ConnectionState>();
     let openRequests = 0;
+    let acceptedConnections = 0;
+    server.on("drop", () => acceptedConnections += 1);
     server.on("connection", (connection: Socket) => {
+        acceptedConnections += 1;
         connections.set(connection, {
             openRequests: 0,
             unusedFrom: clock.monotonicMilliseconds() + UNUSED_CONNECTION_TIMEOUT_MS,
@@ -74,10 +94,20 @@
         },
         openRequests: () => openRequests,
         isPipelining: connection => (connections.get(connection)?.openRequests ?? 0) > 1,
-        // The server's own `close` would also close connections whose last response has not been sent completely, because
-        // Node counts them as idle.
-        stopAccepting: () => void NetServer.prototype.close.call(server),
-        closeUnused: () => {
+        stopAccepting: async endsAt => {
+            let acceptedBefore: number;
+            do {
+                acceptedBefore = acceptedConnections;
+                // Each turn of the event loop accepts a connection unless the queue is empty.
+                await readPendingData();
+            }
+            while (acceptedConnections > acceptedBefore && clock.monotonicMilliseconds() < endsAt);
+            // The server's own `close` would also close connections whose last response has not been sent completely, because
+            // Node counts them as idle.
+            NetServer.prototype.close.call(server);
+        },
+        closeUnused: async () => {
+            await readPendingData();
             const now = clock.monotonicMilliseconds();
             connections.forEach((state, connection) => {
                 if (state.openRequests === 0 && now >= state.unusedFrom) {
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -178,7 +178,7 @@
         evacuationGeneration: catalog.evacuationGeneration,
     });
     const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
-    const connections = trackCallerConnections(server, clock);
+    const connections = trackCallerConnections(server, clock, eventLoopLag.readPendingData);
     const dependencies: ServeDependencies = {
         clock,
         counters: metrics,
@@ -241,12 +241,12 @@
             // Callers that looked up this entry before the report still connect.
             const acceptsUntil = startedAt + options.stopMilliseconds * ACCEPTING_SHARE;
             await clock.sleep(Math.max(0, acceptsUntil - clock.monotonicMilliseconds()));
-            connections.stopAccepting();
+            await connections.stopAccepting(servesUntil);
             // A request that is read on an open connection after this loop would end with the process.
-            connections.closeUnused();
+            await connections.closeUnused();
             while (connections.count() > 0 && clock.monotonicMilliseconds() < servesUntil) {
                 await clock.sleep(STOP_POLL_INTERVAL_MS);
-                connections.closeUnused();
+                await connections.closeUnused();
             }
             log(EventLevel.Info, "entry stopped", { openRequests: connections.openRequests() });
             await feeds.close();
