Refuse votes for a new group that a replica was not started with

Callers saw an empty catalog, and 404 for every route, after the disks of two of the first three control instances were lost right after the first acknowledgement.

Cause: until the first membership is in the log, the first voters know each other by name only, and the votes of all of them elect a leader. A replica whose disk was lost granted such a vote, although it was not started as one of the first voters.

A replica now votes for a candidate with an empty log only if it is itself one of the voters that it was started with. A replica whose disk was lost is started without voters, so the votes cannot be complete. That a change is acknowledged while two disks hold it is another fault.

--- a/packages/coordination/src/consensus/disk-loss.feature
+++ b/packages/coordination/src/consensus/disk-loss.feature
@@ -7,3 +7,7 @@
   # Guards against restarted replicas that acknowledge what a killed process had written, but not synced.
   Scenario: Two disks are wiped while all other replicas lose power after the followers were killed during proposals
     Then in 20 such groups whose followers were killed, seed 1 and later, no acknowledged change is lost either
+
+  # Guards against a new group, without the acknowledged changes, of the replicas that did not hold them.
+  Scenario: Two of the first three replicas lose their disks before the third one holds the first entry
+    Then in 20 groups of 3 replicas, seed 1 and later, no replica becomes leader without the acknowledged changes
--- a/packages/coordination/src/consensus/disk-loss.steps.ts
+++ b/packages/coordination/src/consensus/disk-loss.steps.ts
@@ -1,5 +1,6 @@
 import { Then } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { ReplicaRole } from "./replica-types.js";
 import { createSimulatedGroup, type SimulatedGroup } from "./simulated-group.steps.js";
 
 const startGroup = async (seed: number): Promise<SimulatedGroup> => {
@@ -70,3 +71,37 @@
             await loseDisks(group, seed);
         }),
 );
+
+/** Time in which replicas would have held several elections, in milliseconds. */
+const SEVERAL_ELECTIONS_MS = 10_000;
+
+Then(
+    "in {int} groups of 3 replicas, seed {int} and later, no replica becomes leader without the acknowledged changes",
+    (count: number, firstSeed: number) =>
+        forEachSeed(count, firstSeed, async seed => {
+            const group = createSimulatedGroup(["a", "b", "c"], seed);
+            group.nodes.forEach((_, name) => group.start(name));
+            const findElected = () =>
+                [...group.nodes.values()].find(({ replica }) => replica?.status().role === ReplicaRole.Leader)?.name;
+            await group.until(() => findElected() !== undefined, 5_000, "The first election", 1);
+            const leader = findElected()!;
+            const [holder, lagging] = [...group.nodes.keys()].filter(name => name !== leader) as [string, string];
+            group.isolate(lagging);
+            await group.until(() => group.leader() !== undefined, 1_000, "The first lease");
+            propose(group, 5, "change");
+            await group.until(() => group.acknowledged.size > 0, 1_000, "A change is acknowledged", 1);
+            assert.equal(group.nodes.get(lagging)!.disk.entries.length, 0, "The third replica holds an entry.");
+            [leader, holder].forEach(name => {
+                group.wipe(name);
+                group.start(name, []);
+            });
+            group.nodes.get(lagging)!.crash();
+            group.start(lagging);
+            group.cutLinks.clear();
+            for (let passed = 0; passed < SEVERAL_ELECTIONS_MS; passed += 50) {
+                await group.advance(50);
+                assert.equal(group.leader()?.name, undefined, "A replica without the changes became leader.");
+            }
+            group.nodes.forEach(node => node.replica?.stop());
+        }),
+);
--- a/packages/coordination/src/consensus/election.ts
+++ b/packages/coordination/src/consensus/election.ts
@@ -203,6 +203,15 @@
     return true;
 }
 
+/**
+ * Whether the candidate would start a new group that this replica was not started with. The first voters do not know
+ * their stores yet, so a vote of a replica whose disk was lost would count as that of the replica before, and the new
+ * group would lack what the lost disks held.
+ */
+function isUnknownNewGroup(context: ReplicaContext, request: VoteRequest): boolean {
+    return request.lastIndex === 0 && !contexts.isSelfVoter(context);
+}
+
 /** Handles a vote or pre-vote request; a granted vote is durable before the reply. The caller holds the lock. */
 export async function handleVote(context: ReplicaContext, request: VoteRequest): Promise<VoteReply> {
     const reply = (isGranted: boolean): VoteReply => ({
@@ -213,7 +222,8 @@
     });
     const { lastTerm, lastIndex } = context.storage;
     const isUpToDate = request.lastTerm > lastTerm || (request.lastTerm === lastTerm && request.lastIndex >= lastIndex);
-    if (request.term < context.term || (hasRecentLeader(context) && !request.isTransfer)) {
+    const isStale = request.term < context.term || (hasRecentLeader(context) && !request.isTransfer);
+    if (isStale || isUnknownNewGroup(context, request)) {
         return reply(false);
     }
     if (request.isPreVote) {
