Do not cut off responses of the operator API that are still being sent at its stop

The servers of an entry for callers and for its status stopped in the same way.

The new scenario failed on the code before: of a response of bytes, the client got 3919685 ("3919685 !==").

All three servers now stop with the gateway's count of the requests in progress of each connection: they stop listening through the server of the net module, which closes no connection, and close a connection once its last response has been sent. For the servers of an entry no test failed before: its stop waits for forwarded responses, so that only responses to lookups, announcements and requests for its status could be cut off.

--- a/packages/hyssopfront/src/entry/start-entry.ts
+++ b/packages/hyssopfront/src/entry/start-entry.ts
@@ -23,6 +23,7 @@
 import { followConfiguration } from "../configuration/follow-configuration.js";
 import { dialControlPeers } from "../control/control-peers.js";
 import { createDrainTracker } from "../drains/drain-tracker.js";
+import { prepareServerStop } from "../http/stop-server.js";
 import { createHistograms, LatencyClass } from "../metrics/histograms.js";
 import { createMetrics } from "../metrics/metrics.js";
 import { readToken } from "../operator-api/authorization.js";
@@ -186,6 +187,7 @@
             createAnnouncementRoutes({ clock, announcements }),
         ]),
     );
+    const stopCallerServer = prepareServerStop(callerServer, clock);
     await listen(callerServer, instance.address, entry.callerPort);
     const peerListener = await listenForPeers({
         clock,
@@ -272,6 +274,7 @@
             "/v1/histograms": () => ({ histograms: histograms.summaries() }),
         },
     });
+    const stopAdminServer = prepareServerStop(adminServer, clock);
     debug("entry started, listening for callers on %s:%d", instance.address, callerPort);
 
     const longestTimeToLiveMilliseconds = () =>
@@ -288,7 +291,7 @@
         session.renewNow();
         await clock.sleep(LEAVING_PROPAGATION_MS + longestTimeToLiveMilliseconds());
         await handler.drain();
-        const closed = closeServer(callerServer);
+        const closed = stopCallerServer();
         await runOnce?.waitUntilIdle();
         await closed;
         await session.end();
@@ -299,7 +302,7 @@
         admission.close();
         await announcements.stop();
         await configurationFollower.stop();
-        await Promise.all([peerListener.close(), entryPeers.close(), controlPeers.close(), closeServer(adminServer)]);
+        await Promise.all([peerListener.close(), entryPeers.close(), controlPeers.close(), stopAdminServer()]);
         await metrics.close();
         debug("entry stopped");
     };
@@ -350,10 +353,3 @@
     server.listen(port, address);
     await once(server, "listening");
 }
-
-function closeServer(server: Server): Promise<void> {
-    return new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
-    });
-}
--- a/packages/hyssopfront/src/operator-api/operator-api.feature
+++ b/packages/hyssopfront/src/operator-api/operator-api.feature
@@ -80,3 +80,9 @@
   Scenario: A stop ends watches at the end of a line and completes the change in progress
     When the API is stopped while a watch is open and a change waits for its commit
     Then the watch ends cleanly, the change gets its response, and new connections are refused
+
+  # Guards against responses that a stop cuts off because they have been handed to their connection but not sent yet.
+  Scenario: A stop sends the whole response to a client that reads slowly
+    Given the backend has a status of 20000000 bytes
+    When a client requests the status and the API is stopped before the client reads
+    Then the client gets the whole response
--- a/packages/hyssopfront/src/operator-api/operator-api.steps.ts
+++ b/packages/hyssopfront/src/operator-api/operator-api.steps.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { connect } from "node:net";
+import { text as readAll } from "node:stream/consumers";
 import { request as sendRequest } from "undici";
 import type { ChangeCommand } from "../resources/messages.js";
 import { CommandKind } from "../resources/messages.js";
@@ -23,6 +24,7 @@
 let responses: ApiResponse[];
 let lastRevisionRead: number;
 let commitAllowed: Promise<void>;
+let received: string;
 let notifyWatches: () => void;
 let changeNotified: Promise<void>;
 
@@ -379,3 +381,20 @@
     assert.equal(responses[0]?.statusCode, 201);
     await assert.rejects(send("GET", "/v1/regions"), /ECONNREFUSED/);
 });
+
+Given("the backend has a status of {int} bytes", (bytes: number) => {
+    backend.status = () => Promise.resolve({ padding: "x".repeat(bytes) });
+});
+
+When("a client requests the status and the API is stopped before the client reads", async () => {
+    const socket = connect(api.port, "127.0.0.1").pause();
+    socket.write("GET /v1/status HTTP/1.1\r\nHost: x\r\n\r\n");
+    await once(socket, "readable");
+    const stopped = api.stop();
+    received = await readAll(socket);
+    await stopped;
+});
+
+Then("the client gets the whole response", () => {
+    assert.equal(received.split("\r\n\r\n")[1]?.length, Number(/content-length: (\d+)/i.exec(received)?.[1]));
+});
--- a/packages/hyssopfront/src/operator-api/start-operator-api.ts
+++ b/packages/hyssopfront/src/operator-api/start-operator-api.ts
@@ -4,6 +4,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
+import { prepareServerStop } from "../http/stop-server.js";
 import { createOperatorApiHandler, type OperatorApiOptions } from "./operator-api.js";
 
 /** Options of the request handler and of its HTTP server. */
@@ -47,16 +48,9 @@
     server.maxConnections = options.maximumConnections ?? 512;
     server.on(
         "request",
-        rejectInvalidHeaders(server, (request, response) => {
-            response.once("close", () => {
-                if (stopping.signal.aborted) {
-                    // Node.js counts the connection as idle only after this event.
-                    setImmediate(() => server.closeIdleConnections());
-                }
-            });
-            void handle(request, response);
-        }),
+        rejectInvalidHeaders(server, (request, response) => void handle(request, response)),
     );
+    const stopServer = prepareServerStop(server, options.clock);
     server.on("drop", () => options.counters.increment("operator_api.connections_refused"));
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
         const [status, code, message] = CLIENT_ERRORS[error.code ?? ""] ?? OTHER_CLIENT_ERROR;
@@ -76,7 +70,12 @@
     await listen(server, address, options.port);
     return {
         port: (server.address() as AddressInfo).port,
-        stop: () => stop(server, stopping, options.stopTimeoutMilliseconds ?? 5_000),
+        stop: async () => {
+            if (!stopping.signal.aborted) {
+                stopping.abort(new Error("The API is stopping."));
+                await stopServer(options.stopTimeoutMilliseconds ?? 5_000);
+            }
+        },
     };
 }
 
@@ -89,15 +88,3 @@
         });
     });
 }
-
-async function stop(server: Server, stopping: AbortController, stopTimeoutMilliseconds: number): Promise<void> {
-    if (stopping.signal.aborted) {
-        return;
-    }
-    const closed = new Promise<void>(resolve => server.close(() => resolve()));
-    stopping.abort(new Error("The API is stopping."));
-    server.closeIdleConnections();
-    const timer = setTimeout(() => server.closeAllConnections(), stopTimeoutMilliseconds);
-    await closed;
-    clearTimeout(timer);
-}
