Bound the memory that bodies of callers' requests take together

What callers saw: an entry that gets long bodies without a length, or many bodies at once, grows beyond the memory of its instance and is killed, which cuts off all its requests.

Cause: a chunked body has no length in advance, so it was always buffered, up to the limit for bodies of 64 MiB. Bodies of up to 1 MiB were buffered however many there were.

Fix: bodies are buffered up to 1 MiB each and 32 MiB together; all others are streamed, which takes only the memory of the connections, at the price that they are not retried. A length beyond the limit is rejected before the body is read. A body that the caller sends in excess or breaks off is no longer counted as a failure of the backend server, and one in excess gets 413 when streamed, too.

--- /dev/null
+++ b/packages/hyssopfront/src/gateway/bodies/bodies.feature
@@ -0,0 +1,41 @@
+Feature: Memory for the bodies of callers' requests
+
+  Background:
+    Given an entry that may buffer 4000000 bytes of bodies and accepts bodies of 8000000 bytes
+
+  # Guards against a process that exceeds the memory of its instance and is killed, because callers send long bodies
+  # without a length.
+  Scenario: A long body without a length is streamed
+    When 1 caller sends 6000000 bytes without a length
+    Then 1 body is streamed
+    And at most 1048576 bytes are reserved
+    And each body is read whole
+
+  # Guards against a process that is killed for its memory, because many callers send bodies at once.
+  Scenario Outline: Bodies for which there is no memory are streamed
+    When 12 callers send 900000 bytes <length>
+    Then at least 8 bodies are streamed
+    And at most 4000000 bytes are reserved
+    And each body is read whole
+
+    Examples:
+      | length           |
+      | with a length    |
+      | without a length |
+
+  # Guards against an entry that can no longer repeat requests, because memory is not returned.
+  Scenario: The memory of a body is returned
+    When 4 callers send 900000 bytes with a length
+    And their requests end
+    Then at most 0 bytes are reserved
+    When 4 callers send 900000 bytes with a length
+    Then 0 bodies are streamed
+
+  Scenario Outline: A body that is larger than the limit is not accepted
+    When 1 caller sends 8000001 bytes <length>
+    Then no body is read whole, because it is too large
+
+    Examples:
+      | length           |
+      | with a length    |
+      | without a length |
--- a/packages/hyssopfront/src/gateway/forward.ts
+++ b/packages/hyssopfront/src/gateway/forward.ts
@@ -9,7 +9,7 @@
 import type { BackendServer, BackendServers } from "./backend-servers.js";
 import type { CallerResponse } from "./caller-response.js";
 import { type Dispatch, dispatch, DispatchOutcome, type DispatchResult } from "./dispatch/dispatch.js";
-import type { GatewayRequest } from "./gateway-request.js";
+import { bodyFailure, failureStatus, type GatewayRequest } from "./gateway-request.js";
 import type { HeaderNames } from "./header-names.js";
 import { estimateLoad, type LoadBalancer, SelectionFailure } from "./load-balancing/load-balancer.js";
 import type { OverloadThrottle } from "./load-balancing/overload-throttle.js";
@@ -267,7 +267,9 @@
             || (result.outcome === DispatchOutcome.Cancelled && !state.current.wasSent());
         state.possibleRuns += isKnownNotRun ? 0 : 1;
         state.current = undefined;
-        recordHealth(dependencies, server, result);
+        if (bodyFailure(request) === undefined) {
+            recordHealth(dependencies, server, result);
+        }
         return result;
     };
 
@@ -379,7 +381,7 @@
                     caller.abort();
                     return ForwardOutcome.Truncated;
                 case DispatchOutcome.Failed:
-                    caller.sendLocalResponse({ status: 502 });
+                    caller.sendLocalResponse({ status: failureStatus(request) });
                     return ForwardOutcome.Failed;
                 case DispatchOutcome.Cancelled:
                     return respondToCancellation();
--- a/packages/hyssopfront/src/gateway/gateway-request.ts
+++ b/packages/hyssopfront/src/gateway/gateway-request.ts
@@ -4,7 +4,8 @@
 import type { IncomingMessage } from "node:http";
 import type { CallerLimits } from "../catalog/items.js";
 import { selectRequestHeaders } from "../routing/headers.js";
-import { readWholeBody, streamBody, type StreamedBody } from "../routing/request-body.js";
+import { BodyTooLargeError, bufferOrStreamBody, streamBody, type StreamedBody } from "../routing/request-body.js";
+import type { BodyMemoryReservation } from "./body-memory.js";
 import type { HeaderNames } from "./header-names.js";
 
 /** Largest body that is buffered, in bytes, so that the request can be retried; longer ones are streamed. */
@@ -48,34 +49,58 @@
 }
 
 /**
- * Reads the body, or starts to stream a long one.
+ * Reads the body, or starts to stream one that is long or for which there is no memory.
  *
  * @throws BodyTooLargeError if the body exceeds the limit; the error of the connection if the caller closes it early.
  */
-async function readBody(message: IncomingMessage, limits: CallerLimits): Promise<Buffer | StreamedBody | undefined> {
+async function readBody(
+    message: IncomingMessage,
+    { maximumBodyBytes }: CallerLimits,
+    memory: BodyMemoryReservation,
+): Promise<Buffer | StreamedBody | undefined> {
     if (!hasBody(message)) {
         return undefined;
     }
-    const isLong = Number(message.headers["content-length"] ?? 0) > MAXIMUM_BUFFERED_BODY_BYTES;
-    return isLong
-        ? streamBody(message, limits.maximumBodyBytes)
-        : readWholeBody(message, limits.maximumBodyBytes);
+    const contentLength = Number(message.headers["content-length"] ?? 0);
+    if (contentLength > maximumBodyBytes) {
+        throw new BodyTooLargeError(maximumBodyBytes);
+    }
+    // The length is reserved at once, because a body that is streamed from its beginning needs no memory.
+    if (contentLength > MAXIMUM_BUFFERED_BODY_BYTES || !memory.tryReserve(contentLength)) {
+        return streamBody(message, maximumBodyBytes);
+    }
+    // Chunked bodies have no known length.
+    let bytes = 0;
+    return bufferOrStreamBody(message, maximumBodyBytes, chunkBytes => {
+        bytes += chunkBytes;
+        return bytes <= contentLength || (bytes <= MAXIMUM_BUFFERED_BODY_BYTES && memory.tryReserve(chunkBytes));
+    });
 }
 
+/** Returns why the body could not be read to its end, or undefined. The backend server is not to blame for that. */
+export const bodyFailure = ({ body }: GatewayRequest): Error | undefined =>
+    body === undefined || Buffer.isBuffer(body) ? undefined : body.failure;
+
+/** Returns the status for a request whose dispatch has failed. */
+export const failureStatus = (request: GatewayRequest): number =>
+    bodyFailure(request) instanceof BodyTooLargeError ? 413 : 502;
+
 /**
  * Reads a request with its body.
  *
+ * @param memory Reserves the memory of a body that is buffered.
  * @throws BodyTooLargeError if the body exceeds the limit; the error of the connection if the caller closes it early.
  */
 export async function readGatewayRequest(
     message: IncomingMessage,
     headerNames: HeaderNames,
     limits: CallerLimits,
+    memory: BodyMemoryReservation,
 ): Promise<GatewayRequest> {
     const url = message.url ?? "/";
     const deadline = Number(message.headers[headerNames.deadline]);
     const contentLength = message.headers["content-length"];
-    const body = await readBody(message, limits);
+    const body = await readBody(message, limits, memory);
     const headers = selectForwardedHeaders(message, headerNames);
     if (body !== undefined && !Buffer.isBuffer(body) && contentLength !== undefined) {
         headers.push("content-length", contentLength);
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -7,6 +7,7 @@
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
 import type { AcceptQueue } from "./accept-queue.js";
+import type { BodyMemory, BodyMemoryReservation } from "./body-memory.js";
 import { createCallerResponse } from "./caller-response.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
@@ -32,6 +33,7 @@
     readonly eventLoopLag: EventLoopLag;
     readonly acceptQueue: AcceptQueue;
     readonly catalog: CatalogView;
+    readonly bodyMemory: BodyMemory;
     readonly isCatalogComplete: () => boolean;
     /** Whether more than one request is in progress on the connection of a caller. */
     readonly isPipelining: (connection: Socket) => boolean;
@@ -48,6 +50,21 @@
     dependencies: ServeDependencies,
     message: IncomingMessage,
     response: ServerResponse,
+): Promise<void> {
+    const reservation = dependencies.bodyMemory.createReservation();
+    try {
+        await serveWithMemory(dependencies, message, response, reservation);
+    }
+    finally {
+        reservation.release();
+    }
+}
+
+async function serveWithMemory(
+    dependencies: ServeDependencies,
+    message: IncomingMessage,
+    response: ServerResponse,
+    reservation: BodyMemoryReservation,
 ): Promise<void> {
     const { catalog, clock, eventLoopLag, log, metrics, headerNames } = dependencies;
     const lagMilliseconds = eventLoopLag.milliseconds();
@@ -77,7 +94,7 @@
     }
     let request: GatewayRequest;
     try {
-        request = await readGatewayRequest(message, headerNames, catalog.limits());
+        request = await readGatewayRequest(message, headerNames, catalog.limits(), reservation);
     }
     catch (error) {
         if (error instanceof BodyTooLargeError) {
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -15,6 +15,7 @@
 import { createTimers } from "../routing/timers.js";
 import { watchAcceptQueue } from "./accept-queue.js";
 import { createBackendServers } from "./backend-servers.js";
+import { createBodyMemory } from "./body-memory.js";
 import { trackCallerConnections } from "./caller-connections.js";
 import { createCatalogView, type NamedRoute } from "./catalog-view.js";
 import { measureEventLoopLag } from "./event-loop-lag.js";
@@ -201,6 +202,7 @@
             port: options.callerPort,
         }),
         catalog,
+        bodyMemory: createBodyMemory(),
         isCatalogComplete: () => feedState.isComplete,
         isPipelining: connection => connections.isPipelining(connection),
         currentStop: () => currentStop,
--- a/packages/hyssopfront/src/routing/request-body.ts
+++ b/packages/hyssopfront/src/routing/request-body.ts
@@ -53,12 +53,58 @@
     waitForCapacity: (bytes: number) => Promise<void>;
 };
 
+/**
+ * Reads a complete body into memory, or as much as may be buffered, and streams the others.
+ *
+ * @param mayBuffer Called with the size of each chunk; returns false if the body must be streamed from this chunk on.
+ * @throws BodyTooLargeError if the body is larger than the limit.
+ * @throws Error if the connection fails or the caller closes it before the end of the body.
+ */
+export function bufferOrStreamBody(
+    request: IncomingMessage,
+    limitBytes: number,
+    mayBuffer: (bytes: number) => boolean,
+): Promise<Buffer | StreamedBody> {
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        const collect = (chunk: Buffer) => {
+            bytes += chunk.length;
+            chunks.push(chunk);
+            if (bytes > limitBytes) {
+                request.off("data", collect);
+                request.pause();
+                reject(new BodyTooLargeError(limitBytes));
+            }
+            else if (!mayBuffer(chunk.length)) {
+                request.off("data", collect);
+                request.pause();
+                resolve(streamBody(request, limitBytes, chunks));
+            }
+        };
+        request.on("data", collect);
+        request.on("end", () => resolve(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)));
+        request.on("error", reject);
+        request.on("close", () => {
+            if (!request.complete) {
+                reject(new Error("The caller closed the connection before the body ended."));
+            }
+        });
+    });
+}
+
 /**
  * Streams a body. Chunks are read from the caller only as fast as the connection to the backend server accepts them.
+ *
+ * @param first Chunks that were read before.
  */
-export function streamBody(request: IncomingMessage, limitBytes: number): StreamedBody {
+export function streamBody(
+    request: IncomingMessage,
+    limitBytes: number,
+    first: readonly Buffer[] = [],
+): StreamedBody {
     const body: StreamedBody = {
-        chunks: { [Symbol.asyncIterator]: () => readChunks(request, limitBytes, body) },
+        chunks: { [Symbol.asyncIterator]: () => readChunks(request, limitBytes, first, body) },
         isConsumed: false,
         failure: undefined,
         waitForCapacity: () => Promise.resolve(),
@@ -74,11 +120,17 @@
 async function* readChunks(
     request: IncomingMessage,
     limitBytes: number,
+    first: readonly Buffer[],
     body: StreamedBody,
 ): AsyncGenerator<Uint8Array> {
     body.isConsumed = true;
     let bytes = 0;
     try {
+        for (const chunk of first) {
+            bytes += chunk.length;
+            await body.waitForCapacity(chunk.length);
+            yield chunk;
+        }
         for await (const chunk of request.iterator({ destroyOnReturn: false })) {
             bytes += (chunk as Buffer).length;
             if (bytes > limitBytes) {
