Reject requests that waited too long to be accepted instead of resetting them unread

Callers saw their connection reset up to 0.6 s after they had sent a whole request, also around planned stops: an entry that is short of processor time for a moment closed connections unread that had waited over 200 ms in the kernel's queue. A caller can't see whether its request was read, so it can't safely repeat an order, and a stop close to it makes it a lost request.

The connections are accepted now, and their first request gets a 503 with the time after which to retry, before anything else is done for it. The scenario that expected closed connections now expects these responses, and none closed unread; the time and the least number are the same.

--- a/packages/hyssopfront/src/gateway/caller-connections.ts
+++ b/packages/hyssopfront/src/gateway/caller-connections.ts
@@ -63,7 +63,6 @@
     const connections = new Map<Socket, ConnectionState>();
     let openRequests = 0;
     let acceptedConnections = 0;
-    server.on("drop", () => acceptedConnections += 1);
     server.on("connection", (connection: Socket) => {
         acceptedConnections += 1;
         connections.set(connection, {
--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -367,12 +367,13 @@
     When 80 callers of another process send requests to stoc at once and disconnect after 150 ms
     Then no request reaches a backend server later than 100 ms after they disconnected
 
-  # Guards against an overloaded entry that works only for callers that are about to time out.
-  Scenario: Connections that have waited too long are closed unread, and later callers are served
+  # Guards against an overloaded entry that works only for callers that are about to time out, and against callers who
+  # cannot know whether their request has run, as their connection is closed unread.
+  Scenario: Requests that have waited too long to be accepted are rejected, and later callers are served
     Given stoc-1 of stoc responds
     And each turn of the event loop takes 5 ms
     When 100 callers of another process send requests to unknown at once and disconnect after 1500 ms
-    Then at least 10 of them are closed unread, and all others get a response within 400 ms
+    Then at least 10 of them get 503, all others get 404 within 400 ms, and no connection is closed unread
     When a caller sends a request to stoc
     Then the caller gets 200 with the body and signature of the backend server
 
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -50,8 +50,8 @@
 type DisconnectingCallers = {
     readonly count: number;
     readonly disconnectedAt: number;
-    /** Milliseconds until the response, for each caller that got one. */
-    readonly responseTimes: readonly number[];
+    /** For each caller that got a response, its status and the time until it came. */
+    readonly responses: readonly { readonly milliseconds: number; readonly status: number }[];
     readonly closedUnread: number;
 };
 type Behavior = (socket: Socket, id: string) => void;
@@ -825,24 +825,27 @@
 });
 /**
  * Program whose callers connect, send a request and disconnect together. It prints when they disconnected, after how
- * many milliseconds each response came, and how many connections were closed unread.
+ * many milliseconds each response came with which status, and how many connections were closed unread.
  */
 const DISCONNECTING_CALLERS_SCRIPT = `
     const [port, count, milliseconds, path, names] = JSON.parse(process.argv[1]);
     const head = id => ["GET " + path + " HTTP/1.1", "host: gateway.example", names.requestId + ": left" + id,
         names.deadline + ": 1500", "", ""].join("\\r\\n");
     const startedAt = Date.now();
-    const responseTimes = [], closed = [];
+    const responses = [], closed = [];
     const sockets = Array.from({ length: count }, (_, id) => {
         const socket = require("node:net").connect(port, "${HOST}", () => socket.write(head(id)));
-        socket.once("data", () => responseTimes.push(Date.now() - startedAt) && socket.destroy());
+        socket.once("data", data => {
+            responses.push({ milliseconds: Date.now() - startedAt, status: Number(data.toString().split(" ")[1]) });
+            socket.destroy();
+        });
         return socket.on("error", () => undefined).on("close", () => closed.push(Date.now() - startedAt));
     });
     setTimeout(() => {
         const disconnectedAt = Date.now();
-        const closedUnread = closed.length - responseTimes.length;
+        const closedUnread = closed.length - responses.length;
         sockets.forEach(socket => socket.destroy());
-        process.stdout.write(JSON.stringify({ disconnectedAt, responseTimes, closedUnread }));
+        process.stdout.write(JSON.stringify({ disconnectedAt, responses, closedUnread }));
     }, milliseconds);
 `;
 When(
@@ -861,15 +864,16 @@
     },
 );
 Then(
-    "at least {int} of them are closed unread, and all others get a response within {int} ms",
-    (fewest: number, milliseconds: number) => {
-        const { count, responseTimes, closedUnread } = disconnectingCallers;
-        assert.ok(closedUnread >= fewest, `${closedUnread} were closed unread.`);
-        assert.equal(responseTimes.length + closedUnread, count);
-        assert.ok(
-            Math.max(...responseTimes) <= milliseconds,
-            `One got its response after ${Math.max(...responseTimes)} ms.`,
-        );
+    "at least {int} of them get {int}, all others get {int} within {int} ms, and no connection is closed unread",
+    (fewest: number, rejection: number, status: number, milliseconds: number) => {
+        const { count, responses: received, closedUnread } = disconnectingCallers;
+        assert.deepEqual([closedUnread, received.length], [0, count]);
+        const rejected = received.filter(response => response.status === rejection);
+        assert.ok(rejected.length >= fewest, `${rejected.length} got ${rejection}.`);
+        const others = received.filter(response => response.status !== rejection);
+        assert.ok(others.every(response => response.status === status));
+        const longest = Math.max(...others.map(response => response.milliseconds));
+        assert.ok(longest <= milliseconds, `One got its response after ${longest} ms.`);
     },
 );
 Then(
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -68,9 +68,9 @@
 ): Promise<void> {
     const { catalog, clock, eventLoopLag, log, metrics, headerNames } = dependencies;
     const lagMilliseconds = eventLoopLag.milliseconds();
-    const acceptWait = dependencies.acceptQueue.takeWaitMilliseconds(message.socket);
+    const acceptWait = dependencies.acceptQueue.takeWait(message.socket);
     const isLagging = lagMilliseconds > NOTICEABLE_LAG_MS;
-    const mayHaveDisconnected = isLagging || acceptWait > NOTICEABLE_LAG_MS;
+    const mayHaveDisconnected = isLagging || acceptWait.milliseconds > NOTICEABLE_LAG_MS;
     // The time that a request has waited to be read counts towards its deadline.
     const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0);
     const id = String(message.headers[headerNames.requestId] ?? "");
@@ -88,6 +88,10 @@
         respond(503, "the catalog is not complete yet", NOT_READY_RETRY_MS);
         return;
     }
+    if (acceptWait.isTooLong) {
+        respond(503, "the connection waited too long to be accepted", OVERLOADED_RETRY_MS);
+        return;
+    }
     if (countHeaderBytes(message) > catalog.limits().maximumHeaderBytes) {
         respond(431, "the headers are too large");
         return;
@@ -136,7 +140,7 @@
             milliseconds: Math.round(elapsed),
             objective: namedRoute.route.latencyObjectiveMilliseconds,
             delay: Math.round(lagMilliseconds),
-            acceptWait: Math.round(acceptWait),
+            acceptWait: Math.round(acceptWait.milliseconds),
         });
     }
 }
