Let a run-once group serve requests again after an outage despite the outcomes that wait for it

Cause: each attempt that an entry cannot begin is reported as rejected, and the report was retried on its own for 60 s, every 250 ms or, if the group does not reply, every 1.25 s. The longer an outage lasts and the sooner callers retry, the more reports call the group; they also occupy the processes that must elect a leader. When the group answers again, its calls reach it faster than it can serve them, each reply comes after the deadline of 1 s, and all are repeated.

Now an attempt is reported only if it may have been recorded: not if each of its calls was never sent, or was rejected by an instance that does not lead. Of the reports that are left, an entry repeats at most four for a group at once, and only retries wait for a place.

--- a/packages/hyssopfront/src/run-once/messages.ts
+++ b/packages/hyssopfront/src/run-once/messages.ts
@@ -20,6 +20,9 @@
 /** Maximum total size of the headers and the body of a response that is stored for replay. */
 export const MAXIMUM_STORED_RESPONSE_BYTES = 65_536;
 
+/** Failure code of an instance that does not lead the group. The request was certainly not recorded. */
+export const NOT_LEADER_CODE = "notLeader";
+
 /** Result of beginning an attempt. */
 export enum BeginResult {
     /** This attempt, and no other, may dispatch the request. */
--- a/packages/hyssopfront/src/run-once/run-once-client.ts
+++ b/packages/hyssopfront/src/run-once/run-once-client.ts
@@ -1,9 +1,10 @@
 /**
  * Client of the run-once groups, used by entries: begins and finishes attempts at the group that owns the key.
  */
-import { type Clock, type Counters, NO_COUNTERS } from "@hyssopfront/coordination";
+import { type Clock, type Counters, NO_COUNTERS, PeerError } from "@hyssopfront/coordination";
 import { createHash, randomUUID } from "node:crypto";
 import { PeerRequestKind } from "../sessions/messages.js";
+import { createConcurrencyLimit } from "./concurrency-limit.js";
 import {
     type AttemptOutcome,
     AttemptOutcomeKind,
@@ -13,6 +14,7 @@
     type BeginRequest,
     BeginResult,
     type FinishRequest,
+    NOT_LEADER_CODE,
     type StoredResponse,
 } from "./messages.js";
 
@@ -83,9 +85,17 @@
 const MAXIMUM_RETRY_DELAY_MS = 250;
 /** Time for which outcomes and incarnations are retried. */
 const RETRY_DURATION_MS = 60_000;
+/**
+ * Outcomes of one group that an entry reports again at once. After an outage thousands can wait, and all entries
+ * together must leave the group enough time for new requests.
+ */
+const MAXIMUM_CONCURRENT_RETRIES = 4;
 /** A group that has not replied for longer than a leader change can take has lost its quorum. */
 const QUORUM_LOSS_THRESHOLD_MS = 3_000;
 
+const isCertainlyNotRecorded = (error: unknown) =>
+    error instanceof PeerError && (error.isCertainlyNotRun || error.code === NOT_LEADER_CODE);
+
 const computeWeight = (group: string, key: string) =>
     createHash("sha1").update(group).update("/").update(key).digest().readUIntBE(0, 6);
 
@@ -116,14 +126,29 @@
 
     const selectGroupOfRequest = ({ key }: { readonly key: string }) => selectGroup(options.groups, key);
 
-    /** Calls a group once and tracks since when its calls have failed. */
-    const callGroup = async (group: string, kind: PeerRequestKind, payload: object, milliseconds: number) => {
+    const retryLimits = new Map(options.groups.map(name => [name, createConcurrencyLimit(MAXIMUM_CONCURRENT_RETRIES)]));
+
+    /**
+     * Calls a group once and tracks since when its calls have failed.
+     *
+     * @param onUncertain Called when the call failed, but may have been recorded.
+     */
+    const callGroup = async (
+        group: string,
+        kind: PeerRequestKind,
+        payload: object,
+        milliseconds: number,
+        onUncertain?: () => void,
+    ) => {
         try {
             const reply = await options.call(group, kind, payload, milliseconds);
             failingSince.delete(group);
             return { reply };
         }
-        catch {
+        catch (error) {
+            if (!isCertainlyNotRecorded(error)) {
+                onUncertain?.();
+            }
             counters.increment("run_once.call_retries", 1, { kind });
             if (!failingSince.has(group)) {
                 failingSince.set(group, clock.monotonicMilliseconds());
@@ -144,14 +169,15 @@
         kind: PeerRequestKind,
         payload: object,
         deadlineAt: number,
-        signal?: AbortSignal,
+        { signal, onUncertain }: { readonly signal?: AbortSignal; readonly onUncertain?: () => void } = {},
     ) => {
         for (let retryDelay = INITIAL_RETRY_DELAY_MS;; retryDelay = Math.min(MAXIMUM_RETRY_DELAY_MS, retryDelay * 2)) {
             const remainingMilliseconds = deadlineAt - clock.monotonicMilliseconds();
             if (remainingMilliseconds <= 0 || signal?.aborted === true) {
                 return undefined;
             }
-            const callResult = await callGroup(group, kind, payload, Math.min(CALL_TIMEOUT_MS, remainingMilliseconds));
+            const callTimeout = Math.min(CALL_TIMEOUT_MS, remainingMilliseconds);
+            const callResult = await callGroup(group, kind, payload, callTimeout, onUncertain);
             if (callResult !== undefined || kind === PeerRequestKind.BeginRunOnce && hasLostQuorum(group)) {
                 return callResult;
             }
@@ -159,18 +185,38 @@
         }
     };
 
+    /**
+     * Reports an outcome until the group has recorded it, or its deadline passes.
+     *
+     * The retries of all outcomes share a few places, each for one call and the pause before it. Otherwise the
+     * outcomes of an outage, which are more the longer it lasts, would keep the group from serving requests after it.
+     */
+    const report = async (payload: FinishRequest): Promise<boolean> => {
+        const group = selectGroupOfRequest(payload);
+        const deadlineAt = clock.monotonicMilliseconds() + RETRY_DURATION_MS;
+        const hasExpired = () => clock.monotonicMilliseconds() >= deadlineAt;
+        const callOnce = () => callGroup(group, PeerRequestKind.FinishRunOnce, payload, CALL_TIMEOUT_MS);
+        let callResult = failingSince.has(group) ? undefined : await callOnce();
+        for (let retryDelay = INITIAL_RETRY_DELAY_MS; callResult === undefined; retryDelay *= 2) {
+            callResult = await retryLimits.get(group)?.(async () => {
+                if (hasExpired()) {
+                    return undefined;
+                }
+                const failingMilliseconds = clock.monotonicMilliseconds() - (failingSince.get(group) ?? Infinity);
+                await clock.sleep(Math.min(MAXIMUM_RETRY_DELAY_MS, Math.max(retryDelay, failingMilliseconds)));
+                return callOnce();
+            });
+            if (callResult === undefined && hasExpired()) {
+                return false;
+            }
+        }
+        return true;
+    };
+
     const finish = async (attempt: RunOnceAttempt, outcome: AttemptOutcome): Promise<void> => {
         pendingFinishCount += 1;
         try {
-            const payload: FinishRequest = { ...attempt, outcome };
-            const deadlineAt = clock.monotonicMilliseconds() + RETRY_DURATION_MS;
-            const callResult = await callWithRetries(
-                selectGroupOfRequest(attempt),
-                PeerRequestKind.FinishRunOnce,
-                payload,
-                deadlineAt,
-            );
-            if (callResult === undefined) {
+            if (!await report({ ...attempt, outcome })) {
                 counters.increment("run_once.finish_lost");
             }
         }
@@ -198,17 +244,21 @@
             incarnation: options.incarnation,
         };
         const deadlineAt = clock.monotonicMilliseconds() + request.deadlineMilliseconds;
+        let mayBeRecorded = false;
         const callResult = await callWithRetries(
             selectGroupOfRequest(request),
             PeerRequestKind.BeginRunOnce,
             payload,
             deadlineAt,
+            { onUncertain: () => mayBeRecorded = true },
         );
         const parsed = beginReplySchema.safeParse(callResult?.reply);
         if (!parsed.success) {
             counters.increment("run_once.unavailable");
-            // The begin may have been recorded. This attempt is never dispatched, so its key can be released.
-            void finish(attempt, { kind: AttemptOutcomeKind.Rejected });
+            if (mayBeRecorded || callResult !== undefined) {
+                // This attempt is never dispatched, so its key can be released.
+                void finish(attempt, { kind: AttemptOutcomeKind.Rejected });
+            }
             return { result: GROUP_UNAVAILABLE };
         }
         counters.increment("run_once.begin", 1, { result: parsed.data.result });
@@ -240,7 +290,7 @@
         const deadlineAt = clock.monotonicMilliseconds() + RETRY_DURATION_MS;
         await Promise.all(
             options.groups.map(group =>
-                callWithRetries(group, PeerRequestKind.ReportIncarnation, {}, deadlineAt, signal)
+                callWithRetries(group, PeerRequestKind.ReportIncarnation, {}, deadlineAt, { signal })
             ),
         );
     };
--- a/packages/hyssopfront/src/run-once/run-once-state-machine.ts
+++ b/packages/hyssopfront/src/run-once/run-once-state-machine.ts
@@ -22,14 +22,12 @@
     beginRequestSchema,
     BeginResult,
     finishRequestSchema,
+    NOT_LEADER_CODE,
     type RunOnceCommand,
     RunOnceCommandKind,
 } from "./messages.js";
 import { createRunOnceState, decodeRunOnceCommand, encodeRunOnceCommand } from "./run-once-state.js";
 
-/** Failure code that makes an entry try another voter. The request was certainly not recorded. */
-export const NOT_LEADER_CODE = "notLeader";
-
 /**
  * Creates the state machine of one run-once group.
  *
