--- a/packages/hyssopfront/src/gateway/caller-connections.ts
+++ b/packages/hyssopfront/src/gateway/caller-connections.ts
@@ -3,7 +3,8 @@
  */
 import type { Clock } from "@hyssopfront/coordination";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { Server as NetServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
+import { stopAccepting } from "../http/stop-accepting.js";
 
 /**
  * Age at which a connection without a request counts as unused, in milliseconds; callers send a request as soon as they
@@ -34,8 +35,7 @@
     /** Whether more than one request is in progress on the connection, because its caller pipelines them. */
     isPipelining(connection: Socket): boolean;
     /**
-     * Stops accepting connections once those that wait in the queue of the kernel are accepted, because closing a
-     * listening socket resets the connections in its queue. Those that are open stay open.
+     * Stops accepting connections once those that wait in the queue of the kernel are accepted.
      *
      * @param endsAt Time at which the queue is closed even if it never becomes empty, in monotonic milliseconds.
      */
@@ -62,9 +62,7 @@
 ): CallerConnections {
     const connections = new Map<Socket, ConnectionState>();
     let openRequests = 0;
-    let acceptedConnections = 0;
     server.on("connection", (connection: Socket) => {
-        acceptedConnections += 1;
         connections.set(connection, {
             openRequests: 0,
             unusedFrom: clock.monotonicMilliseconds() + UNUSED_CONNECTION_TIMEOUT_MS,
@@ -93,18 +91,7 @@
         },
         openRequests: () => openRequests,
         isPipelining: connection => (connections.get(connection)?.openRequests ?? 0) > 1,
-        stopAccepting: async endsAt => {
-            let acceptedBefore: number;
-            do {
-                acceptedBefore = acceptedConnections;
-                // Each turn of the event loop accepts a connection unless the queue is empty.
-                await readPendingData();
-            }
-            while (acceptedConnections > acceptedBefore && clock.monotonicMilliseconds() < endsAt);
-            // The server's own `close` would also close connections whose last response has not been sent completely, because
-            // Node counts them as idle.
-            NetServer.prototype.close.call(server);
-        },
+        stopAccepting: endsAt => stopAccepting(server, readPendingData, () => clock.monotonicMilliseconds() >= endsAt),
         closeUnused: async () => {
             await readPendingData();
             const now = clock.monotonicMilliseconds();
