Count buffered responses in the memory for bodies, too

What callers would see: an entry that collects responses of up to 256 KiB for many callers, or holds them for callers that read slowly, grows beyond the memory of its instance and is killed, which cuts off all its requests.

Cause: each response was buffered whole up to 256 KiB, however many there were, and its bytes stay in memory until a slow caller has read them.

Fix: responses are buffered from the same memory as the bodies of requests, 32 MiB together, and streamed beyond. Only successes are streamed for lack of memory, since others may be retried or must not be forwarded as they are. The memory is returned once the response is sent or the connection is closed; Node does not close responses that are queued behind other pipelined ones.

Before, the new test failed with "answered,answered,answered,..." for ten dispatches at once with memory for two.

--- a/packages/hyssopfront/src/gateway/bodies/bodies.feature
+++ b/packages/hyssopfront/src/gateway/bodies/bodies.feature
@@ -39,3 +39,18 @@
       | length           |
       | with a length    |
       | without a length |
+
+  # Guards against memory that is held for callers that read slowly or have left, or returned before they have read.
+  Scenario Outline: The memory of a response is held until it is sent or its connection is closed
+    When a caller <gets> and reads nothing
+    Then 200 ms later at least <bytes> bytes are reserved
+    When the caller <ends>
+    Then within 3000 ms 0 bytes are reserved
+
+    # The kernel takes the first megabytes.
+    Examples:
+      | gets                                        | bytes    | ends        |
+      | gets a response of 8000000 bytes            | 8000000  | reads it    |
+      | gets a response of 8000000 bytes            | 8000000  | disconnects |
+      | pipelines 4 requests for 4000000 bytes each | 12000000 | reads it    |
+      | pipelines 4 requests for 4000000 bytes each | 12000000 | disconnects |
--- a/packages/hyssopfront/src/gateway/bodies/bodies.steps.ts
+++ b/packages/hyssopfront/src/gateway/bodies/bodies.steps.ts
@@ -1,9 +1,16 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { createServer, request as sendRequest, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import {
+    createServer,
+    type IncomingMessage,
+    request as sendRequest,
+    type Server,
+    type ServerResponse,
+} from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { BodyTooLargeError } from "../../routing/request-body.js";
-import { type BodyMemory, type BodyMemoryReservation, createBodyMemory } from "../body-memory.js";
+import { type BodyMemory, type BodyMemoryReservation, createBodyMemory, releaseWhenSent } from "../body-memory.js";
 import { DEFAULT_LIMITS } from "../catalog-view.js";
 import { type GatewayRequest, readGatewayRequest } from "../gateway-request.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "../sample-header-names.js";
@@ -20,7 +27,11 @@
 let sentBytes: number;
 let highestReservedBytes: number;
 
+let caller: Socket | undefined;
+
 After(() => {
+    caller?.destroy();
+    caller = undefined;
     server.closeAllConnections();
     server.close();
 });
@@ -37,12 +48,10 @@
         headers: hasLength ? { "content-length": body.length } : {},
     });
     request.on("error", () => undefined);
+    const closed = new Promise(resolve => request.once("close", resolve));
     for (let offset = 0; offset < body.length; offset += CHUNK_BYTES) {
         if (!request.write(body.subarray(offset, offset + CHUNK_BYTES))) {
-            await new Promise(resolve => {
-                request.once("drain", resolve);
-                request.once("close", resolve);
-            });
+            await Promise.race([closed, new Promise(resolve => request.once("drain", resolve))]);
         }
     }
     request.end();
@@ -59,13 +68,25 @@
     return Buffer.concat(chunks);
 }
 
+function respondFromMemory(message: IncomingMessage, response: ServerResponse): void {
+    const bytes = Number(message.url?.slice(1));
+    const reservation = memory.createReservation();
+    assert.ok(reservation.tryReserve(bytes));
+    response.end(Buffer.alloc(bytes));
+    releaseWhenSent(reservation, message, response);
+}
+
 Given(
     "an entry that may buffer {int} bytes of bodies and accepts bodies of {int} bytes",
     async (maximumBytes: number, maximumBodyBytes: number) => {
         memory = createBodyMemory(maximumBytes);
         reads = [];
         highestReservedBytes = 0;
-        server = createServer(message => {
+        server = createServer((message, response) => {
+            if (message.method === "GET") {
+                respondFromMemory(message, response);
+                return;
+            }
             const reservation = memory.createReservation();
             const read = readGatewayRequest(message, NAMES, { ...DEFAULT_LIMITS, maximumBodyBytes }, {
                 ...reservation,
@@ -104,6 +125,36 @@
     (await Promise.all(reads)).forEach(({ reservation }) => reservation.release());
 });
 
+When(
+    /^a caller (?:gets a response of|pipelines (\d+) requests for) (\d+) bytes(?: each)? and reads nothing$/,
+    (count: string | undefined, bytes: string) => {
+        memory = createBodyMemory();
+        caller = connect((server.address() as AddressInfo).port, HOST);
+        caller.on("error", () => undefined);
+        caller.pause();
+        caller.write(`GET /${bytes} HTTP/1.1\r\nhost: ${HOST}\r\n\r\n`.repeat(Number(count ?? 1)));
+    },
+);
+When(/^the caller (reads it|disconnects)$/, (end: string) => {
+    if (end === "reads it") {
+        caller?.resume();
+    }
+    else {
+        caller?.destroy();
+    }
+});
+Then("{int} ms later at least {int} bytes are reserved", async (milliseconds: number, bytes: number) => {
+    await sleep(milliseconds);
+    assert.ok(memory.reservedBytes >= bytes, `${memory.reservedBytes} bytes are reserved.`);
+});
+Then("within {int} ms {int} bytes are reserved", async (milliseconds: number, bytes: number) => {
+    const endsAt = performance.now() + milliseconds;
+    while (memory.reservedBytes !== bytes && performance.now() < endsAt) {
+        await sleep(10);
+    }
+    assert.equal(memory.reservedBytes, bytes);
+});
+
 Then(/^(at least |)(\d+) bod(?:y is|ies are) streamed$/, async (atLeast: string, count: string) => {
     const streamed = (await Promise.all(reads)).filter(({ request }) => !Buffer.isBuffer(request.body));
     assert.ok(
--- a/packages/hyssopfront/src/gateway/body-memory.ts
+++ b/packages/hyssopfront/src/gateway/body-memory.ts
@@ -1,6 +1,7 @@
 /**
- * Bounds the memory that the buffered bodies of all callers' requests take together.
+ * Bounds the memory that the buffered bodies of all requests and responses take together.
  */
+import type { IncomingMessage, ServerResponse } from "node:http";
 
 /**
  * Largest number of bytes of bodies that an entry buffers at once: a tenth of the memory of the smallest instances, 346 MB,
@@ -8,7 +9,7 @@
  */
 const MAXIMUM_BODY_MEMORY_BYTES = 32 * 1024 * 1024;
 
-/** Bytes that one request has reserved. */
+/** Bytes that one request has reserved for its body and its response. */
 export type BodyMemoryReservation = {
     /** Reserves more bytes, or none and returns false if the memory is exhausted. A body is then streamed instead. */
     tryReserve(bytes: number): boolean;
@@ -49,3 +50,20 @@
         },
     };
 }
+
+/** Returns the bytes of a request once its response has been sent or its connection is closed. */
+export function releaseWhenSent(
+    reservation: BodyMemoryReservation,
+    message: IncomingMessage,
+    response: ServerResponse,
+): void {
+    if (response.writableFinished || response.destroyed || message.socket.destroyed) {
+        reservation.release();
+        return;
+    }
+    response.once("close", reservation.release);
+    if (!response.socket) {
+        // The response to a pipelined request waits for earlier ones, and may not be closed with its connection.
+        message.socket.once("close", reservation.release);
+    }
+}
--- a/packages/hyssopfront/src/gateway/dispatch/dispatch.feature
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.feature
@@ -26,6 +26,19 @@
     When a caller takes 1 ms for each chunk of the response
     Then the dispatch is streamed with all bytes
 
+  # Guards against a process that exceeds the memory of its instance and is killed, because many callers read slowly.
+  Scenario: Responses for which there is no memory are streamed
+    Given a backend server that responds with a length on a new connection
+    And there is memory for 120 bytes of bodies
+    Then at least 8 of 10 dispatches at once are streamed
+
+  # Guards against a failure that can no longer be retried, or that claims that the request has not run.
+  Scenario: A failure is not streamed for lack of memory
+    Given a backend server that responds with a failure on a new connection
+    And there is memory for 0 bytes of bodies
+    When it sends the whole response
+    Then the dispatch is completed with the whole body
+
   # Guards against a body that keeps all the bytes in memory that a faulty backend server sends between its chunks.
   Scenario: A collected body keeps no more memory than its own bytes
     When 2000 views of 1 byte on 65536 bytes each are collected
--- a/packages/hyssopfront/src/gateway/dispatch/dispatch.steps.ts
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.steps.ts
@@ -6,6 +6,7 @@
 import { runInNewContext } from "node:vm";
 import { SAMPLE_BACKEND_RECORD } from "../../registry/sample-backend-record.js";
 import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
+import { type BodyMemory, createBodyMemory } from "../body-memory.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "../sample-header-names.js";
 import { type BodyBuffer, createBodyBuffer } from "./body-buffer.js";
 import { dispatch, DispatchOutcome, type DispatchResult, type ResponseSink } from "./dispatch.js";
@@ -28,6 +29,7 @@
     "a length and connection close": `${HEAD}connection: close\r\n${LENGTH}`,
     "chunks": HEAD + CHUNKS,
     "chunks and connection close": `${HEAD}connection: close\r\n${CHUNKS}`,
+    "a failure": `HTTP/1.1 500 Oops\r\n${NAMES.requestId}: ${REQUEST_ID}\r\n${LENGTH}`,
     "a long body": `${HEAD}content-length: ${LONG_BODY_BYTES}\r\n\r\n${"x".repeat(LONG_BODY_BYTES)}`,
     "chunks behind an informational one": `HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n${HEAD}${CHUNKS}`,
 };
@@ -43,6 +45,7 @@
 let results: readonly DispatchResult[];
 let body: BodyBuffer;
 let streamedBytes: number;
+let memory: BodyMemory;
 let memoryBehindViews: readonly WeakRef<ArrayBuffer>[];
 
 const sendWhole = (socket: Socket) => void socket.write(response);
@@ -60,6 +63,7 @@
             affinityKey: undefined,
             callerTimeoutMilliseconds: undefined,
             body: undefined,
+            memory: memory.createReservation(),
         },
         headerNames: NAMES,
         connectionLimit: CONNECTION_LIMIT,
@@ -81,6 +85,7 @@
     async (framing: string, connection: string) => {
         response = RESPONSES[framing] as string;
         isReused = connection === "reused";
+        memory = createBodyMemory();
         respond = sendWhole;
         const listener = createServer(socket => {
             socket.on("error", () => undefined);
@@ -124,6 +129,9 @@
         results.map((_result, length) => `${length}: ${DispatchOutcome.Failed}`),
     );
 });
+Given("there is memory for {int} bytes of bodies", (bytes: number) => {
+    memory = createBodyMemory(bytes);
+});
 When("it sends the whole response", async () => {
     respond = sendWhole;
     results = [await send()];
@@ -144,6 +152,15 @@
     };
     results = [await send(sink)];
 });
+Then(/^at least (\d+) of (\d+) dispatches at once are streamed$/, async (streamed: string, count: string) => {
+    results = await Promise.all(Array.from({ length: Number(count) }, () => send()));
+    const outcomes = results.map(({ outcome }) => outcome);
+    assert.ok(
+        outcomes.filter(outcome => outcome === DispatchOutcome.Streamed).length >= Number(streamed),
+        outcomes.join(),
+    );
+    assert.ok(outcomes.every(outcome => [DispatchOutcome.Streamed, DispatchOutcome.Completed].includes(outcome)));
+});
 Then("the dispatch is streamed with all bytes", () => {
     assert.deepEqual([results[0]?.outcome, streamedBytes], [DispatchOutcome.Streamed, LONG_BODY_BYTES]);
 });
--- a/packages/hyssopfront/src/gateway/dispatch/dispatch.ts
+++ b/packages/hyssopfront/src/gateway/dispatch/dispatch.ts
@@ -14,11 +14,14 @@
 /** Idle time beyond which a new connection is preferred, in milliseconds, since backend servers close idle ones. */
 const FRESH_CONNECTION_IDLE_MS = 4_000;
 
+/** Lowest status of a response that is no success (RFC 9110, section 15). */
+const MINIMUM_UNSUCCESSFUL_STATUS = 300;
+
 /** How a dispatch ended; a field of the log. */
 export enum DispatchOutcome {
     /** The response was received completely. */
     Completed = "answered",
-    /** The response was too long to buffer and was streamed to the caller. */
+    /** The response was too long to buffer, or there was no memory for it, and was streamed to the caller. */
     Streamed = "streamed",
     /** The response broke off after a part of it had been streamed to the caller. */
     Truncated = "cut-short",
@@ -64,7 +67,7 @@
 
 /** A successful response must be signed by a backend server and must not be encoded. Others are not checked. */
 const isAuthentic = ({ status, headers }: ResponseHead, headerNames: HeaderNames) =>
-    status >= 300
+    status >= MINIMUM_UNSUCCESSFUL_STATUS
     || (headers[headerNames.responseSignature] !== undefined && headers["content-encoding"] === undefined);
 
 function recordReportedLoad(
@@ -86,7 +89,7 @@
  *
  * @param options.endsAt Deadline of the request, in monotonic milliseconds.
  * @param options.onResponseHead Called as soon as the head of a response to this request arrives, rejections included.
- * @param options.sink Receives the response if it is too long to buffer.
+ * @param options.sink Receives the response if it is not buffered.
  */
 export function dispatch(options: {
     readonly clock: Clock;
@@ -139,6 +142,10 @@
         allowsCloseDelimited: true,
     };
     let hasRequestId = false;
+    /** Only successes are streamed for lack of memory: others may be retried, or must not be forwarded as they are. */
+    const mayBuffer = (bytes: number, { status }: ResponseHead) =>
+        body.length + bytes <= MAXIMUM_BUFFERED_RESPONSE_BYTES
+        && (request.memory.tryReserve(bytes) || status >= MINIMUM_UNSUCCESSFUL_STATUS);
     const isBufferedBody = request.body === undefined || Buffer.isBuffer(request.body);
     const attempt: Attempt = startAttempt(connection, {
         method: request.method,
@@ -172,7 +179,7 @@
             }
         },
         onData: chunk => {
-            if (!isStreaming && body.length + chunk.length > MAXIMUM_BUFFERED_RESPONSE_BYTES && head !== undefined) {
+            if (!isStreaming && head !== undefined && !mayBuffer(chunk.length, head)) {
                 isStreaming = true;
                 sink.begin(head);
                 sink.write(body.take(), () => undefined);
--- a/packages/hyssopfront/src/gateway/gateway-request.ts
+++ b/packages/hyssopfront/src/gateway/gateway-request.ts
@@ -23,6 +23,8 @@
     /** Milliseconds from the arrival for which the caller waits; undefined if it states none. */
     readonly callerTimeoutMilliseconds: number | undefined;
     readonly body: Buffer | StreamedBody | undefined;
+    /** Reserves the memory of the bodies of the request and its response. */
+    readonly memory: BodyMemoryReservation;
 };
 
 function findCookie(cookies: string | undefined, name: string): string | undefined {
@@ -88,7 +90,7 @@
 /**
  * Reads a request with its body.
  *
- * @param memory Reserves the memory of a body that is buffered.
+ * @param memory Reserves the memory of the bodies of the request and its response.
  * @throws BodyTooLargeError if the body exceeds the limit; the error of the connection if the caller closes it early.
  */
 export async function readGatewayRequest(
@@ -114,5 +116,6 @@
         affinityKey: findCookie(message.headers.cookie, headerNames.affinityCookie),
         callerTimeoutMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
         body,
+        memory,
     };
 }
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -7,7 +7,7 @@
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
 import type { AcceptQueue } from "./accept-queue.js";
-import type { BodyMemory, BodyMemoryReservation } from "./body-memory.js";
+import { type BodyMemory, type BodyMemoryReservation, releaseWhenSent } from "./body-memory.js";
 import { createCallerResponse } from "./caller-response.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
@@ -56,7 +56,7 @@
         await serveWithMemory(dependencies, message, response, reservation);
     }
     finally {
-        reservation.release();
+        releaseWhenSent(reservation, message, response);
     }
 }
 
