Read what clients have sent before an idle connection is closed

Clients saw a kept connection reset after they had sent a whole request, when the process paused (frozen, throttled, garbage collection) and the idle time of the connection ended in the pause. They can't know whether the request was read.

The cause is that of, outside of stops: Node closes idle connections from a timer, and timers run before connections are read. It concerned the servers for callers of both kinds of entries, for calls, for operators and for the status.

Node 20 waits for one second beyond the idle time, so the pause must last that long for a request that is sent just in time.

Now the event loop reads what has arrived when the idle time is over, and the connection is closed only if no byte came.

--- a/packages/hyssopfront/src/entry/admin-server.ts
+++ b/packages/hyssopfront/src/entry/admin-server.ts
@@ -3,6 +3,7 @@
  */
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import { createAuthorization } from "../operator-api/authorization.js";
 import { ApiError, sendError, sendJson } from "../operator-api/responses.js";
@@ -49,6 +50,7 @@
         }
     };
     const server = createServer();
+    readBeforeIdleClose(server);
     server.on("request", rejectInvalidHeaders(server, handle));
     server.listen(options.port, options.token === undefined ? "127.0.0.1" : options.address);
     await once(server, "listening");
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -10,6 +10,7 @@
 import { memberName } from "../formation/member-peers.js";
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import { discardRest } from "../http/discard-rest.js";
+import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { createTimers } from "../routing/timers.js";
@@ -179,6 +180,7 @@
         evacuationGeneration: catalog.evacuationGeneration,
     });
     const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
+    readBeforeIdleClose(server);
     const connections = trackCallerConnections(server, clock, eventLoopLag.readPendingData);
     const dependencies: ServeDependencies = {
         clock,
--- a/packages/hyssopfront/src/operator-api/start-operator-api.ts
+++ b/packages/hyssopfront/src/operator-api/start-operator-api.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import { prepareServerStop } from "../http/stop-server.js";
 import { createOperatorApiHandler, type OperatorApiOptions } from "./operator-api.js";
@@ -45,6 +46,7 @@
         connectionsCheckingInterval: Math.min(1_000, requestTimeoutMilliseconds / 2),
         keepAliveTimeout: 60_000,
     });
+    readBeforeIdleClose(server);
     server.maxConnections = options.maximumConnections ?? 512;
     server.on(
         "request",
--- a/packages/hyssopfront/src/routing/caller-server.ts
+++ b/packages/hyssopfront/src/routing/caller-server.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import { sendLocalResponseOnSocket } from "./local-response.js";
 import { FailureReason, MAXIMUM_HEADER_BYTES, RequestOutcome } from "./messages.js";
@@ -33,6 +34,7 @@
  */
 export function createCallerServer(handler: CallerHandler): Server {
     const server = createServer(CALLER_SERVER_OPTIONS);
+    readBeforeIdleClose(server);
     const handle = rejectInvalidHeaders(server, (request, response) => void handler(request, response));
     server.on("request", handle);
     server.on("checkExpectation", handle);
