Acknowledge changes only once the new group has its voters

Callers got no answer to any read or change for good, after the disks of two control instances were lost right after the first acknowledgement, although two disks may be lost.

Cause: a group starts with the three seeds as voters and grows to five. A change was acknowledged as soon as two of three voters held it, and the loss of two voters left no majority of three.

While the leader has too few voters and other instances are joining, or may still ask to in the first 1.5 s of its lease, it does not append commands. An entry that follows the membership with five voters is committed by three of them, together with all entries before it. The wait ends 5 s after the election at the latest, and does not occur while a wiped voter returns, as a majority of the other four are three disks.

--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -23,6 +23,17 @@
 /** Deadline of a join request, in milliseconds. */
 const JOIN_DEADLINE_MS = 500;
 
+/**
+ * Time for which a new leader expects further instances to ask to join, in milliseconds. The instances start together,
+ * but on a busy machine one takes seconds longer than another.
+ */
+const JOINING_GRACE_MS = 1_500;
+/**
+ * Longest time for which changes wait until the group has its voters, in milliseconds. Callers arrive 10 s after the
+ * first start, and an instance whose disk hangs must not hold up the others until then.
+ */
+const MAXIMUM_GROWTH_MS = 5_000;
+
 /** Kind of the peer request with which an instance asks to join the group. */
 export const JOIN_REQUEST_KIND = "formation.join";
 
@@ -30,6 +41,12 @@
 export type Formation = {
     /** Handles a join request of the named instance. Returns the known leader and members. */
     handleJoin(name: string): { readonly leader: string | undefined; readonly members: readonly string[] };
+    /**
+     * Returns true on the leader of a group that is still being formed: more voters are needed, and instances that can
+     * become voters are known or expected. A change that is stored meanwhile would be lost with fewer disks than the
+     * deployment must tolerate.
+     */
+    isGrowing(): boolean;
     /** Runs until the signal aborts. */
     run(signal: AbortSignal): Promise<void>;
 };
@@ -78,21 +95,28 @@
         return name !== self && now - since >= MEMBER_TIMEOUT_MS;
     };
 
-    /** Returns the next membership change for the leader to make, or `undefined` when none is needed. */
-    const findChange = ({ members }: ReplicaStatus): MembershipRequest | undefined => {
+    const findJoiner = (members: ReplicaStatus["members"]) => {
         const now = clock.monotonicMilliseconds();
         const isKnown = (name: string) => members.some(member => member.name === name);
+        return [...joinRequests].find(([name, at]) => !isKnown(name) && now - at < JOIN_REQUEST_LIFETIME_MS)?.[0];
+    };
+    const findLearner = (members: ReplicaStatus["members"]) => {
+        const connected = new Set(peers.connected());
+        return members.find(member => !member.isVoter && connected.has(member.name));
+    };
+
+    /** Returns the next membership change for the leader to make, or `undefined` when none is needed. */
+    const findChange = ({ members }: ReplicaStatus): MembershipRequest | undefined => {
         const voters = members.filter(member => member.isVoter);
         const unreachableVoter = voters.find(({ name }) => isUnreachable(name));
         if (unreachableVoter !== undefined && voters.length > options.voterCount) {
             return { kind: MembershipChange.Remove, name: unreachableVoter.name };
         }
-        const joiner = [...joinRequests].find(([name, at]) => !isKnown(name) && now - at < JOIN_REQUEST_LIFETIME_MS);
+        const joiner = findJoiner(members);
         if (joiner !== undefined) {
-            return { kind: MembershipChange.AddLearner, name: joiner[0] };
+            return { kind: MembershipChange.AddLearner, name: joiner };
         }
-        const connected = new Set(peers.connected());
-        const learner = members.find(member => !member.isVoter && connected.has(member.name));
+        const learner = findLearner(members);
         if (learner !== undefined && (voters.length < options.voterCount || unreachableVoter !== undefined)) {
             return { kind: MembershipChange.Promote, name: learner.name };
         }
@@ -155,6 +179,18 @@
             const status = options.replica()?.status();
             return { leader: status?.leader, members: listMembers(status) };
         },
+        isGrowing: () => {
+            const replica = options.replica();
+            const leadingFor = replica?.leadingForMilliseconds();
+            if (replica === undefined || leadingFor === undefined || leadingFor >= MAXIMUM_GROWTH_MS) {
+                return false;
+            }
+            const { members } = replica.status();
+            // A voter that lost its disk is replaced while the others still are a majority of the full group.
+            const count = members.filter(({ isVoter, isReturning }) => isVoter || isReturning === true).length;
+            const isCandidateKnown = findJoiner(members) !== undefined || findLearner(members) !== undefined;
+            return count < options.voterCount && (isCandidateKnown || leadingFor < JOINING_GRACE_MS);
+        },
         run: async signal => {
             while (!signal.aborted) {
                 await runRound();
--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -40,6 +40,8 @@
 const REOPEN_PAUSE_MS = 500;
 /** Pause before an operation is retried, in milliseconds. An election takes several times as long. */
 const RETRY_PAUSE_MS = 50;
+/** Interval at which a change checks whether the group has its voters, in milliseconds. */
+const GROWTH_CHECK_INTERVAL_MS = 20;
 /** Deadline of one call to the leader, in milliseconds. */
 const LEADER_REPLY_DEADLINE_MS = 2_000;
 
@@ -100,6 +102,8 @@
     /** Voters of a group that is bootstrapped. Empty when the group already exists. */
     readonly initialVoters: readonly string[];
     readonly peers: MemberPeers;
+    /** Returns true on the leader while the group has too few voters and more are joining. Commands wait until then. */
+    readonly isGrowing: () => boolean;
     /** Called with what a command or a snapshot has changed, but not again when the log is applied again. */
     readonly observer: CatalogObserver;
     readonly onStatus: (status: ReplicaStatus) => void;
@@ -259,8 +263,16 @@
         return open.replica;
     };
 
-    const proposeOnReplica = async (command: Uint8Array) =>
-        (await requireReplica().propose(command)).result as CommandResult;
+    const proposeOnReplica = async (command: Uint8Array, deadlineMilliseconds: number) => {
+        const endsAt = clock.monotonicMilliseconds() + deadlineMilliseconds;
+        while (options.isGrowing()) {
+            if (clock.monotonicMilliseconds() >= endsAt) {
+                throw new NotLeaderError("propose", undefined);
+            }
+            await clock.sleep(GROWTH_CHECK_INTERVAL_MS);
+        }
+        return (await requireReplica().propose(command)).result as CommandResult;
+    };
 
     /** Returns the instance to propose to. While the storage is not open, the connected ones are tried in turn. */
     const findLeader = (attempt: number) => {
@@ -275,7 +287,7 @@
     ): Promise<CommandResult> => {
         const leader = findLeader(attempt);
         if (leader === undefined || leader === self) {
-            return withDeadline(clock, deadlineMilliseconds, proposeOnReplica(command));
+            return withDeadline(clock, deadlineMilliseconds, proposeOnReplica(command, deadlineMilliseconds));
         }
         const deadline = Math.min(LEADER_REPLY_DEADLINE_MS, deadlineMilliseconds);
         const reply = await options.peers.call(leader, ControlRequestKind.Propose, { command }, deadline);
@@ -310,7 +322,7 @@
         items: () => latest?.state.items() ?? [],
         find: (kind, name) => latest?.state.find(kind, name),
         handleConsensus: (from, payload) => requireReplica().handle(from, parseConsensusRequest(payload)),
-        proposeLocally: proposeOnReplica,
+        proposeLocally: command => proposeOnReplica(command, LEADER_REPLY_DEADLINE_MS),
         submit: (command, deadlineMilliseconds) => {
             const encoded = encodeCommand(command);
             return retryUntil(
--- a/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
@@ -104,6 +104,7 @@
             snapshotEveryEntries: options.snapshotEveryEntries,
             initialVoters: isFirstStart && options.seeds.includes(name) ? options.seeds : [],
             peers,
+            isGrowing: () => formation.isGrowing(),
             observer: { onItems: items => void observed.push(...items), onDepartures: () => undefined },
             onStatus: () => undefined,
         });
--- /dev/null
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
@@ -0,0 +1,21 @@
+Feature: Loss of disks while a group is formed
+
+  # Guards against changes that fewer disks hold than may be lost, and a group without a majority after the loss.
+  Scenario: Two disks are lost right after the first change is acknowledged
+    Given 5 instances that start for the first time
+    When the first change is acknowledged
+    And the leader and the voter with the most entries lose their disks while all instances are killed
+    Then the change is read and further ones are acknowledged
+
+  # Guards against a group that waits for instances that do not exist.
+  Scenario: A group with fewer instances than its target acknowledges changes
+    Given 3 instances of a group for 5 that start for the first time
+    When the first change is acknowledged
+    Then changes were acknowledged within 4 s of the first election
+    And changes were acknowledged within 4 s after another leader was elected
+
+  # Guards against a group that waits for an instance that never becomes a voter.
+  Scenario: A group whose fifth instance has a disk that hangs acknowledges changes
+    Given 4 instances that start for the first time, and a fifth one whose disk hangs
+    When the first change is acknowledged
+    Then it was acknowledged within 6 s of the first election
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -202,6 +202,7 @@
         dataFolder: options.dataFolder,
         initialVoters: options.isFirstStart && seeds().includes(self) ? seeds() : [],
         peers,
+        isGrowing: () => formation.isGrowing(),
         observer: {
             onItems: items => {
                 homeRegions.invalidate();
