--- a/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
@@ -16,6 +16,9 @@
 
 export const clock = createSystemClock();
 
+/** Time without a message after which a connection ends, in milliseconds, as between the peers. */
+const SILENT_CONNECTION_MS = 2_000;
+
 /** Log line of an instance. */
 export type LogLine = { readonly level: EventLevel; readonly event: string; readonly fields: Record<string, unknown> };
 
@@ -41,6 +44,8 @@
     start(name: string, isFirstStart: boolean, disk?: FailingDisk): Instance;
     /** Cuts or restores all connections of an instance. */
     setCut(name: string, isCut: boolean): void;
+    /** Lets an instance fall silent for good, as when it loses power: its connections only end after a timeout. */
+    silence(name: string): void;
     /** Returns the leader that a majority follows, or undefined when there is none. */
     leader(): Instance | undefined;
     end(): Promise<void>;
@@ -57,6 +62,7 @@
     const instances = new Map<string, Instance>();
     const handlers = new Map<string, (from: string, kind: string, payload: unknown) => Promise<unknown>>();
     const cut = new Set<string>();
+    const silentSince = new Map<string, number>();
     /** The first seeds, and running instances in place of those that have stopped. */
     const listSeeds = () => {
         const running = [...instances.keys()];
@@ -65,6 +71,10 @@
         return [...options.seeds.filter(name => instances.has(name)), ...added];
     };
     const isReachable = (from: string, to: string) => handlers.has(to) && !cut.has(from) && !cut.has(to);
+    const isConnected = (from: string, to: string) => {
+        const silentAt = Math.min(...[from, to].map(name => silentSince.get(name) ?? Infinity));
+        return isReachable(from, to) && clock.monotonicMilliseconds() < silentAt + SILENT_CONNECTION_MS;
+    };
 
     const start = (
         name: string,
@@ -82,12 +92,13 @@
                 if (handle === undefined || !isReachable(name, to)) {
                     throw new Error(`${to} is unreachable.`);
                 }
-                return withDeadline(clock, deadline, handle(name, kind, payload));
+                const isSilent = silentSince.has(name) || silentSince.has(to);
+                return withDeadline(clock, deadline, isSilent ? new Promise(() => {}) : handle(name, kind, payload));
             },
             maintainConnections: names => {
                 contacts = names;
             },
-            connected: () => contacts.filter(contact => isReachable(name, contact)),
+            connected: () => contacts.filter(contact => isConnected(name, contact)),
             close: () => Promise.resolve(),
         };
         const stopping = new AbortController();
@@ -154,10 +165,11 @@
         instances,
         start,
         setCut: (name, isCut) => void (isCut ? cut.add(name) : cut.delete(name)),
+        silence: name => void silentSince.set(name, clock.monotonicMilliseconds()),
         leader: () => {
             const statuses = [...instances.values()].map(({ catalog }) => catalog.replica()?.status());
             return [...instances.values()].find(({ name, catalog }) =>
-                !cut.has(name)
+                !cut.has(name) && !silentSince.has(name)
                 && catalog.replica()?.status().role === ReplicaRole.Leader
                 && catalog.replica()?.holdsLeaderLease() === true
                 && statuses.filter(status => status?.leader === name).length > instances.size / 2
--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
@@ -1,4 +1,4 @@
-Feature: Loss of disks while a group is formed
+Feature: Loss of disks while a group is formed or an instance is replaced
 
   # Guards against changes that fewer disks hold than may be lost, and a group without a majority after the loss.
   Scenario: Two disks are lost right after the first change is acknowledged
@@ -19,3 +19,16 @@
     Given 4 instances that start for the first time, and a fifth one whose disk hangs
     When the first change is acknowledged
     Then it was acknowledged within 6 s of the first election
+
+  # Guards against a replaced voter that counts for so long that two further losses leave no majority.
+  Scenario Outline: Two disks are lost 4 s after the start of an instance that replaces a silent <role>
+    Given 5 instances that start for the first time
+    And all of them are voters
+    When a <role> falls silent for good and an instance with an empty disk is added
+    And 4000 ms later the leader and the voter with the most entries lose their disks while all instances are killed
+    Then the change is read and further ones are acknowledged
+
+    Examples:
+      | role     |
+      | leader   |
+      | follower |
--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
@@ -1,20 +1,25 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { rmSync } from "node:fs";
-import { type CatalogCluster, clock } from "./catalog-cluster.steps.js";
-import { createCluster } from "./groups.steps.js";
+import { type CatalogCluster, clock, type Instance } from "./catalog-cluster.steps.js";
+import { createCluster, findInstance, waitForVoters } from "./groups.steps.js";
 import { type Operator, waitForLeader } from "./operator.steps.js";
 
 /** Time within which the first change must be acknowledged at all, in milliseconds; traffic starts then. */
 const FIRST_CHANGE_MS = 10_000;
 
+/** Name of the instance that replaces another one. */
+const ADDED_INSTANCE = "control-6";
+
 let cluster: CatalogCluster;
 let operator: Operator;
 let electedAt: number;
 let acknowledgedAt: number;
+let silent: Instance | undefined;
 
 const startInstances = (count: number, voterCount: number, hanging: readonly string[] = []) => {
     ({ cluster, operator } = createCluster(voterCount));
+    silent = undefined;
     Array.from({ length: count }, (_, index) => `control-${index + 1}`).forEach(name => cluster.start(name, true));
     hanging.forEach(name => cluster.instances.get(name)?.disk.stall());
 };
@@ -37,7 +42,17 @@
     electedAt = clock.monotonicMilliseconds();
     await acknowledged;
 });
-When("the leader and the voter with the most entries lose their disks while all instances are killed", async () => {
+Given("all of them are voters", async () => {
+    await waitForVoters(cluster, names => names.length === cluster.instances.size);
+});
+When("a {word} falls silent for good and an instance with an empty disk is added", async (role: string) => {
+    await operator.change();
+    silent = await findInstance(cluster, role);
+    cluster.silence(silent.name);
+    cluster.start(ADDED_INSTANCE, false);
+});
+
+const loseDisks = async () => {
     const leader = await waitForLeader(cluster);
     const { matchIndex, members } = leader.catalog.replica()!.status();
     const [holder] = members.filter(({ name, isVoter }) => isVoter && name !== leader.name)
@@ -46,8 +61,18 @@
     await Promise.all(instances.map(instance => instance.stop()));
     instances.filter(({ name }) => name === leader.name || name === holder?.name)
         .forEach(({ folder }) => rmSync(folder, { recursive: true }));
-    instances.forEach(({ name }) => cluster.start(name, false));
-});
+    instances.filter(instance => instance !== silent).forEach(({ name }) => cluster.start(name, false));
+};
+When("the leader and the voter with the most entries lose their disks while all instances are killed", loseDisks);
+When(
+    "{int} ms later the leader and the voter with the most entries lose their disks while all instances are killed",
+    async (milliseconds: number) => {
+        // It need not be acknowledged, as it may wait for the silent leader.
+        operator.change().catch(() => undefined);
+        await clock.sleep(milliseconds);
+        await loseDisks();
+    },
+);
 
 Then("the change is read and further ones are acknowledged", async () => {
     await waitForLeader(cluster);
