Test that a hanging disk neither holds up changes nor counts for them

New scenarios of two lost disks and a loss of power while the disk of the leader or a follower hangs.

--- a/packages/coordination/src/consensus/disk-loss.feature
+++ b/packages/coordination/src/consensus/disk-loss.feature
@@ -11,3 +11,12 @@
   # Guards against a new group, without the acknowledged changes, of the replicas that did not hold them.
   Scenario: Two of the first three replicas lose their disks before the third one holds the first entry
     Then in 20 groups of 3 replicas, seed 1 and later, no replica becomes leader without the acknowledged changes
+
+  # Guards against a change that waits for a disk that hangs, or counts it among those that hold the change.
+  Scenario Outline: Two disks are wiped while all other replicas lose power and the disk of the <role> hangs
+    Then in 20 groups of 5 replicas, seed 1 and later, whose <role> has a disk that hangs, no acknowledged change is lost
+
+    Examples:
+      | role     |
+      | leader   |
+      | follower |
--- a/packages/coordination/src/consensus/disk-loss.steps.ts
+++ b/packages/coordination/src/consensus/disk-loss.steps.ts
@@ -17,11 +17,15 @@
 const followersOf = (group: SimulatedGroup) =>
     [...group.nodes.values()].filter(node => node.name !== group.leader()?.name);
 
-/** The leader and one follower lose their disks. */
-const loseDisks = async (group: SimulatedGroup, seed: number) => {
+/** Replicas lose their disks, by default the leader and one follower. */
+const loseDisks = async (
+    group: SimulatedGroup,
+    seed: number,
+    wiped = [group.leader()!.name, followersOf(group)[seed % 4]!.name],
+) => {
     const acknowledgedBefore = group.acknowledged.size;
     assert.ok(acknowledgedBefore > 0, "Nothing was acknowledged, so that nothing could be lost.");
-    group.wipeWhileOthersLosePower([group.leader()!.name, followersOf(group)[seed % 4]!.name]);
+    group.wipeWhileOthersLosePower(wiped);
     await group.until(() => group.leader() !== undefined, 10_000, "The election after the loss");
     propose(group, 5, "later change");
     await group.until(() => group.acknowledged.size >= acknowledgedBefore + 5, 10_000, "The group serves again");
@@ -72,6 +76,21 @@
         }),
 );
 
+Then(
+    "in {int} groups of 5 replicas, seed {int} and later, whose {word} has a disk that hangs, no acknowledged change is lost",
+    (count: number, firstSeed: number, role: string) =>
+        forEachSeed(count, firstSeed, async seed => {
+            const group = await startGroup(seed);
+            const hanging = role === "leader" ? group.leader()! : followersOf(group)[seed % 4]!;
+            hanging.disk.isHanging = true;
+            propose(group, 20, "change");
+            await group.until(() => group.acknowledged.size > 0, 1_000, "A change is acknowledged", 1);
+            const others = [...group.nodes.keys()].filter(name => name !== hanging.name);
+            hanging.disk.isHanging = false;
+            await loseDisks(group, seed, [others[seed % 4]!, others[(seed + 1 + seed % 3) % 4]!]);
+        }),
+);
+
 /** Time in which replicas would have held several elections, in milliseconds. */
 const SEVERAL_ELECTIONS_MS = 10_000;
 
