Wait for a port that is in use instead of ending the process

A process ended with exit code 1 when one of its ports was in use at its start for a moment: by a predecessor that still stopped after SIGTERM, by another program, or by an outgoing connection of the machine that had got the port. An address that was not assigned to the machine yet had the same effect. An entry that already served callers ended when its port for readiness or metrics was in use, with all its requests, and so did a control instance that already took part in its group when its port for control or the directory was.

Each listener failed its start at the first refusal. Now `listen` of the coordination library can wait: it tries again every 50 ms, for failures that pass without a change of the settings, and reports the first refusal and then one every 10 s. The platform's programs wait without limit, as a process that is started again finds the same port. An entry first waits for the port for callers, a control instance for the one for peers; the other listeners, metrics first of all, wait in the background, so none of them ends or delays a process that serves. Readiness is still answered only once callers can connect, and the data folder is still opened only once the peer port is held, so two processes never use it at once. A SIGTERM ends the wait, and the process exits with code 0.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -28,7 +28,7 @@
     FrameFault,
     MAXIMUM_FRAME_BYTES,
 } from "./framing/frames.js";
-export { listen, ListenError, type ListenOptions } from "./listening/listen.js";
+export { type AddressWait, listen, ListenError, type ListenOptions } from "./listening/listen.js";
 export { dialPeer, type DialPeerOptions } from "./peers/dial-peer.js";
 export { listenForPeers, type ListenForPeersOptions } from "./peers/listen-for-peers.js";
 export { PeerError, PeerFailureCode, PeerRequestError, PeerStep } from "./peers/peer-error.js";
--- a/packages/coordination/src/peers/listen-for-peers.ts
+++ b/packages/coordination/src/peers/listen-for-peers.ts
@@ -6,7 +6,7 @@
 import { createServer as createTlsServer, type Server as TlsServer } from "node:tls";
 import type { Clock } from "../clock/clock.js";
 import { type Counters, NO_COUNTERS } from "../counters/counters.js";
-import { listen } from "../listening/listen.js";
+import { type AddressWait, listen } from "../listening/listen.js";
 import {
     createConnection,
     HEARTBEAT_INTERVAL_MS,
@@ -38,6 +38,8 @@
     readonly address: string;
     /** Port to listen on; 0 selects any free port. */
     readonly port: number;
+    /** How to wait for the port while it is in use. Default: the start fails at once. */
+    readonly addressWait?: AddressWait;
     /** Identity of this process, which is sent to the peers. */
     readonly self: PeerIdentity;
     /** Handles the requests of all peers, such as one created by `routePeerRequests`. */
@@ -68,7 +70,7 @@
  * Opens a listening socket and serves the peers that connect to it.
  *
  * @returns The listener, once its socket is listening.
- * @throws ListenError when the address is in use; Error when a TLS file cannot be read.
+ * @throws ListenError when the address is in use; the reason of the abort when the wait for it is ended; Error when a TLS file cannot be read.
  */
 export async function listenForPeers(options: ListenForPeersOptions): Promise<PeerListener> {
     const { clock } = options;
@@ -135,7 +137,12 @@
         const task = serveConnection(socket).finally(() => tasks.delete(task));
         tasks.add(task);
     });
-    await listen(server, { listener: "peers", address: options.address, port: options.port });
+    await listen(server, {
+        listener: "peers",
+        address: options.address,
+        port: options.port,
+        wait: options.addressWait,
+    });
     // Emitted, for instance, when no file descriptor is left for an accepted connection. The server keeps listening.
     server.on("error", () => counters.increment("peers.accept_failures"));
     const tlsWatcher = options.tls === undefined || material === undefined ? Promise.resolve() : watchTlsMaterial({
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -3,6 +3,7 @@
  * that entries follow.
  */
 import {
+    type AddressWait,
     type Clock,
     type Counters,
     listenForPeers,
@@ -71,6 +72,8 @@
     readonly random: () => number;
     readonly address: string;
     readonly peerPort: number;
+    /** How to wait for the peer port while it is in use. Default: the start fails at once. */
+    readonly addressWait?: AddressWait;
     readonly availabilityZone: string;
     readonly getRegion: (availabilityZone: string) => string;
     /** All regions with callers. */
@@ -130,7 +133,12 @@
     stop(): Promise<void>;
 };
 
-/** Starts a control instance. Resolves once it listens for its peers. */
+/**
+ * Starts a control instance. Resolves once it listens for its peers. It opens the data folder only then, as another
+ * process that uses the folder still listens at the port.
+ *
+ * @throws ListenError when it cannot listen; the reason of the abort when the wait for the port is ended.
+ */
 export async function startGatewayControl(options: GatewayControlOptions): Promise<GatewayControl> {
     const { clock, counters, log } = options;
     const self = memberName(options.address, options.peerPort);
@@ -294,6 +302,7 @@
         counters,
         address: options.address,
         port: options.peerPort,
+        addressWait: options.addressWait,
         self: identity,
         handle: routePeerRequests({
             [ControlRequestKind.Consensus]: (from, payload) => catalog.handleConsensus(from.name, payload),
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -1,7 +1,7 @@
 /**
  * Runs an entry of the gateway, which accepts callers' requests and forwards them to backend servers.
  */
-import { type Clock, listen, type PeerIdentity } from "@hyssopfront/coordination";
+import { type AddressWait, type Clock, listen, type PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { EntryReport } from "../entry-selection/connected-entries.js";
@@ -55,6 +55,8 @@
     readonly name: string;
     readonly address: string;
     readonly callerPort: number;
+    /** How to wait for the port while it is in use. Default: the start fails at once. */
+    readonly addressWait?: AddressWait;
     readonly availabilityZone: string;
     /** CPU capacity of this instance, in cores. */
     readonly cores: number;
@@ -91,7 +93,8 @@
 /**
  * Starts an entry and resolves once it listens for callers.
  *
- * @throws ListenError when it cannot listen at the address and port.
+ * @throws ListenError when it cannot listen at the address and port; the reason of the abort when the wait for them is
+ * ended.
  */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
     const { clock, log, metrics, headerNames } = options;
@@ -225,7 +228,12 @@
         server.keepAliveTimeout = Math.min(MAXIMUM_TIMER_MS, idleTimeoutMilliseconds);
         server.headersTimeout = Math.min(MAXIMUM_TIMER_MS, headerTimeoutMilliseconds);
     };
-    await listen(server, { listener: "callers", address: options.address, port: options.callerPort });
+    await listen(server, {
+        listener: "callers",
+        address: options.address,
+        port: options.callerPort,
+        wait: options.addressWait,
+    });
     feeds.follow(controlNames());
     log(EventLevel.Info, "entry listening", { address: options.address, port: options.callerPort });
 
