Keep listening when a connection cannot be accepted, and count and log it

The HTTP servers for callers and for calls had no listener for their event `error` once they listened, which Node's documentation reserves for failures of a server. An event without a listener is an uncaught exception, on which the process exits with all its requests.

--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -11,6 +11,7 @@
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import { discardRest } from "../http/discard-rest.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
+import { reportAcceptErrors } from "../http/report-accept-errors.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { createTimers } from "../routing/timers.js";
 import { watchAcceptQueue } from "./accept-queue.js";
@@ -234,6 +235,7 @@
         port: options.callerPort,
         wait: options.addressWait,
     });
+    reportAcceptErrors(server, { clock, counters: metrics, log, listener: "callers" });
     feeds.follow(controlNames());
     log(EventLevel.Info, "entry listening", { address: options.address, port: options.callerPort });
 
