--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -1,7 +1,7 @@
 /**
  * Runs an entry of the gateway, which accepts callers' requests and forwards them to backend servers.
  */
-import { type Clock, listen, type PeerIdentity } from "@hyssopfront/coordination";
+import { type AddressWait, type Clock, listen, type PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import type { EntryReport } from "../entry-selection/connected-entries.js";
@@ -12,6 +12,7 @@
 import { discardRest } from "../http/discard-rest.js";
 import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
+import { reportAcceptErrors } from "../http/report-accept-errors.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { createTimers } from "../routing/timers.js";
 import { watchAcceptQueue } from "./accept-queue.js";
@@ -57,6 +58,8 @@
     readonly name: string;
     readonly address: string;
     readonly callerPort: number;
+    /** How to wait for the port while it is in use. Default: the start fails at once. */
+    readonly addressWait?: AddressWait;
     readonly availabilityZone: string;
     /** CPU capacity of this instance, in cores. */
     readonly cores: number;
@@ -93,7 +96,8 @@
 /**
  * Starts an entry and resolves once it listens for callers.
  *
- * @throws ListenError when it cannot listen at the address and port.
+ * @throws ListenError when it cannot listen at the address and port; the reason of the abort when the wait for them is
+ * ended.
  */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
     const { clock, log, metrics, headerNames } = options;
@@ -229,7 +233,13 @@
         server.keepAliveTimeout = Math.min(MAXIMUM_TIMER_MS, idleTimeoutMilliseconds);
         server.headersTimeout = Math.min(MAXIMUM_TIMER_MS, headerTimeoutMilliseconds);
     };
-    await listen(server, { listener: "callers", address: options.address, port: options.callerPort });
+    await listen(server, {
+        listener: "callers",
+        address: options.address,
+        port: options.callerPort,
+        wait: options.addressWait,
+    });
+    reportAcceptErrors(server, { clock, counters: metrics, log, listener: "callers" });
     feeds.follow(controlNames());
     log(EventLevel.Info, "entry listening", { address: options.address, port: options.callerPort });
 
