End a server's stop although clients keep connecting

Operators saw an entry that did not end after its stop began, if clients connected to its port for callers or for its status as fast as connections are accepted.

Cause: since the stop of these two servers accepts the connections that wait in the kernel's queue first, until a turn of the event loop brings none. Their stops have no time limit, so this could last for ever; before, the listening socket was closed at once. The gateway's entries and the operator API have a limit.

Connections are now accepted for one second at most, which is enough for those that wait when the stop begins. A client that never reads its response can still hold up the stop of these two servers; a time limit for it must not cut off requests that are in progress, and is left open.

--- a/packages/hyssopfront/src/http/stop-server.ts
+++ b/packages/hyssopfront/src/http/stop-server.ts
@@ -8,6 +8,11 @@
 
 /** Interval at which a stopping server closes the connections that have become unused, in milliseconds. */
 const POLL_INTERVAL_MS = 10;
+/**
+ * Longest time for which connections that wait in the queue are accepted, in milliseconds. Each turn of the event loop
+ * accepts one, and Node's queue has 511, so turns of up to 1.9 ms suffice for all that wait at the stop.
+ */
+const ACCEPTING_TIMEOUT_MS = 1_000;
 
 /**
  * Stops a server: it accepts no connections, and each connection is closed once no request is in progress on it.
@@ -33,8 +38,9 @@
         server.prependListener("checkExpectation", startRequest);
     }
     return async (timeoutMilliseconds = Infinity) => {
-        const closesAt = clock.monotonicMilliseconds() + timeoutMilliseconds;
-        await connections.stopAccepting(closesAt);
+        const startedAt = clock.monotonicMilliseconds();
+        const closesAt = startedAt + timeoutMilliseconds;
+        await connections.stopAccepting(Math.min(closesAt, startedAt + ACCEPTING_TIMEOUT_MS));
         await connections.closeUnused();
         while (connections.count() > 0 && clock.monotonicMilliseconds() < closesAt) {
             await clock.sleep(POLL_INTERVAL_MS);
