Buffer short bodies although no memory for bodies is left

Callers would see requests fail that a backend server has rejected unrun or that could not be sent, instead of a retry on another one, while few other callers hold the memory for bodies: 32 callers that announce 1 MiB each and send nothing, or 128 that do not read their response, take all of it for as long as they stay. Each body was then streamed, whatever its size, and a streamed request is neither retried nor leaves its connection to a backend server to the next one. Found by reading; not seen in a run of the programs.

Bodies of up to 4 KiB are buffered without a reservation. All descriptors of the smallest instances together are bound to 16 MiB by this. The memory that is reserved at once for a body that has only been announced is unchanged.

--- a/packages/hyssopfront/src/gateway/bodies/bodies.feature
+++ b/packages/hyssopfront/src/gateway/bodies/bodies.feature
@@ -23,6 +23,18 @@
       | with a length    |
       | without a length |
 
+  # Guards against an entry that can no longer repeat any request with a body, because few callers hold all memory.
+  Scenario Outline: Short bodies are buffered although there is no memory
+    Given other requests have reserved 4000000 bytes
+    When 4 callers send 4096 bytes <length>
+    Then 0 bodies are streamed
+    And each body is read whole
+
+    Examples:
+      | length           |
+      | with a length    |
+      | without a length |
+
   # Guards against an entry that can no longer repeat requests, because memory is not returned.
   Scenario: The memory of a body is returned
     When 4 callers send 900000 bytes with a length
--- a/packages/hyssopfront/src/gateway/bodies/bodies.steps.ts
+++ b/packages/hyssopfront/src/gateway/bodies/bodies.steps.ts
@@ -121,6 +121,9 @@
         await Promise.allSettled(reads);
     },
 );
+Given("other requests have reserved {int} bytes", (bytes: number) => {
+    assert.ok(memory.createReservation().tryReserve(bytes));
+});
 When("their requests end", async () => {
     (await Promise.all(reads)).forEach(({ reservation }) => reservation.release());
 });
--- a/packages/hyssopfront/src/gateway/gateway-request.ts
+++ b/packages/hyssopfront/src/gateway/gateway-request.ts
@@ -10,6 +10,11 @@
 
 /** Largest body that is buffered, in bytes, so that the request can be retried; longer ones are streamed. */
 const MAXIMUM_BUFFERED_BODY_BYTES = 1024 * 1024;
+/**
+ * Largest body that is buffered without a reservation, in bytes. One for each of the 4,100 descriptors of the smallest
+ * instances takes 16 MiB.
+ */
+const MAXIMUM_UNRESERVED_BODY_BYTES = 4 * 1024;
 
 /** A request of a caller. */
 export type GatewayRequest = {
@@ -68,14 +73,16 @@
         throw new BodyTooLargeError(maximumBodyBytes);
     }
     // The length is reserved at once, because a body that is streamed from its beginning needs no memory.
-    if (contentLength > MAXIMUM_BUFFERED_BODY_BYTES || !memory.tryReserve(contentLength)) {
+    const isReserved = contentLength <= MAXIMUM_BUFFERED_BODY_BYTES && memory.tryReserve(contentLength);
+    if (!isReserved && contentLength > MAXIMUM_UNRESERVED_BODY_BYTES) {
         return streamBody(message, maximumBodyBytes);
     }
     // Chunked bodies have no known length.
     let bytes = 0;
     return bufferOrStreamBody(message, maximumBodyBytes, chunkBytes => {
         bytes += chunkBytes;
-        return bytes <= contentLength || (bytes <= MAXIMUM_BUFFERED_BODY_BYTES && memory.tryReserve(chunkBytes));
+        return bytes <= Math.max(contentLength, MAXIMUM_UNRESERVED_BODY_BYTES)
+            || (bytes <= MAXIMUM_BUFFERED_BODY_BYTES && memory.tryReserve(chunkBytes));
     });
 }
 
