Serve requests that are sent after their connections were accepted

Callers that opened a connection while an entry was busy, and sent their first request seconds later, got 503 although the request had not waited.

A request that has waited with its connection is read in the next turns of the event loop. The mark is therefore ignored for requests that are read more than 300 ms after the connection was accepted; those that a long turn has delayed beyond this are subject to the limit on the lag of the event loop, as before.

--- a/packages/hyssopfront/src/gateway/accept-queue.ts
+++ b/packages/hyssopfront/src/gateway/accept-queue.ts
@@ -18,6 +18,12 @@
  * must suffice for another entry.
  */
 const MAXIMUM_WAIT_MS = 200;
+/**
+ * Time since a connection was accepted after which a request has not waited with it, in milliseconds. A request that has
+ * is read in the next turns of the event loop; one that is read later because of a long turn is subject to the limit on
+ * the lag of the event loop.
+ */
+const READ_WITHIN_MS = 300;
 
 /** How long a connection waited to be accepted. */
 export type AcceptWait = {
@@ -29,7 +35,10 @@
 
 /** Waiting times of accepted connections. */
 export type AcceptQueue = {
-    /** Only the first request of a connection can have arrived during the wait, so further calls return no wait. */
+    /**
+     * Only the first request of a connection can have arrived during the wait, so further calls return no wait. Nor do
+     * calls long after the connection was accepted, as a request that had arrived by then would have been read.
+     */
     takeWait(connection: Socket): AcceptWait;
 };
 
@@ -47,7 +56,7 @@
     readonly port: number;
 }): AcceptQueue {
     const { clock, counters, log, address, port } = options;
-    const waits = new WeakMap<Socket, AcceptWait>();
+    const waits = new WeakMap<Socket, AcceptWait & { readonly acceptedAt: number }>();
     /** Time since which every turn of the event loop has accepted a connection, in monotonic milliseconds. */
     let busySince: number | undefined;
     let hasAccepted = false;
@@ -118,7 +127,8 @@
             connection.destroy();
             return;
         }
-        waits.set(connection, { milliseconds: clock.monotonicMilliseconds() - (busySince ?? Infinity), isTooLong });
+        const acceptedAt = clock.monotonicMilliseconds();
+        waits.set(connection, { acceptedAt, milliseconds: acceptedAt - (busySince ?? Infinity), isTooLong });
         if (isTooLong) {
             overdue += 1;
             counters.increment("gateway.connections_overdue");
@@ -126,9 +136,10 @@
     });
     return {
         takeWait: connection => {
-            const wait = waits.get(connection) ?? NO_WAIT;
+            const wait = waits.get(connection);
             waits.delete(connection);
-            return wait;
+            const hasWaited = wait !== undefined && clock.monotonicMilliseconds() - wait.acceptedAt <= READ_WITHIN_MS;
+            return hasWaited ? wait : NO_WAIT;
         },
     };
 }
