--- a/packages/hyssopfront/src/http/idle-connections.steps.ts
+++ b/packages/hyssopfront/src/http/idle-connections/idle-connections.steps.ts
@@ -5,7 +5,7 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { text as readAll } from "node:stream/consumers";
 import { setTimeout as sleep } from "node:timers/promises";
-import { readBeforeIdleClose } from "./read-before-idle-close.js";
+import { readBeforeIdleClose } from "../read-before-idle-close.js";
 
 setDefaultTimeout(40_000);
 
--- a/packages/hyssopfront/src/http/server-stop.steps.ts
+++ b/packages/hyssopfront/src/http/server-stop/server-stop.steps.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { prepareServerStop, type StopServer } from "./stop-server.js";
+import { prepareServerStop, type StopServer } from "../stop-server.js";
 
 const HOST = "127.0.0.1";
 
