--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -133,12 +133,7 @@
     stop(): Promise<void>;
 };
 
-/**
- * Starts a control instance. Resolves once it listens for its peers. It opens the data folder only then, as another
- * process that uses the folder still listens at the port.
- *
- * @throws ListenError when it cannot listen; the reason of the abort when the wait for the port is ended.
- */
+/** Starts a control instance. Resolves once it listens for its peers; the port also guards its data folder. */
 export async function startGatewayControl(options: GatewayControlOptions): Promise<GatewayControl> {
     const { clock, counters, log } = options;
     const self = memberName(options.address, options.peerPort);
@@ -290,12 +285,7 @@
     const readFeed = async (payload: unknown, requestSignal: AbortSignal) => {
         const { entry, read } = readFeedRequestSchema.parse(payload);
         const disconnect = entries.connect(entry);
-        try {
-            return await feedServer.read(read, requestSignal);
-        }
-        finally {
-            disconnect();
-        }
+        return feedServer.read(read, requestSignal).finally(disconnect);
     };
 
     const listener = await listenForPeers({
--- a/packages/hyssopfront/src/http/report-accept-errors.steps.ts
+++ b/packages/hyssopfront/src/http/report-accept-errors.steps.ts
@@ -8,7 +8,7 @@
 const ADDRESS = "127.0.0.1";
 
 let clock: ManualClock;
-let server: Server;
+let server: Server | undefined;
 let connection: Socket | undefined;
 let lines: { readonly event: string; readonly code: unknown }[];
 let counted: number;
@@ -17,10 +17,11 @@
     clock = createManualClock();
     lines = [];
     counted = 0;
-    server = createServer(socket => socket.on("error", () => undefined));
-    server.listen(0, ADDRESS);
-    await once(server, "listening");
-    reportAcceptErrors(server, {
+    const opened = createServer(socket => socket.on("error", () => undefined));
+    server = opened;
+    opened.listen(0, ADDRESS);
+    await once(opened, "listening");
+    reportAcceptErrors(opened, {
         clock,
         counters: { increment: () => void (counted += 1), gauge: () => undefined },
         log: (_level, event, fields) => void lines.push({ event, code: fields?.code }),
@@ -29,7 +30,7 @@
 });
 When("{int} connections cannot be accepted, {int} ms apart", async (count: number, milliseconds: number) => {
     for (let index = 0; index < count; index += 1) {
-        server.emit("error", Object.assign(new Error("accept EMFILE"), { code: "EMFILE" }));
+        server?.emit("error", Object.assign(new Error("accept EMFILE"), { code: "EMFILE" }));
         await clock.advance(milliseconds);
     }
 });
@@ -44,11 +45,13 @@
 );
 Then("{int} failures are counted", (count: number) => assert.equal(counted, count));
 Then("the server accepts a connection", async () => {
+    assert.ok(server !== undefined);
     const accepted = once(server, "connection");
     connection = connect((server.address() as AddressInfo).port, ADDRESS);
     await accepted;
 });
 After(() => {
     connection?.destroy();
-    server.close();
+    server?.close();
+    server = undefined;
 });
