Move what servers share about their connections into the folder http

The stop of a server and the reading before a connection is closed serve all HTTP servers, but imported their parts from the gateway, which imports the folder http itself. What reads pending data is a function of its own now, instead of a method of the event loop's lag that was passed through three modules.

--- a/packages/hyssopfront/src/gateway/event-loop-lag.ts
+++ b/packages/hyssopfront/src/gateway/event-loop-lag.ts
@@ -13,22 +13,9 @@
      * greater of the timer's current lateness and that of its last run, because timers run before connections are read.
      */
     milliseconds(): number;
-    /** See `readPendingData`. */
-    readPendingData(): Promise<void>;
     close(): void;
 };
 
-const nextTurn = () => new Promise<void>(resolve => void setImmediate(resolve));
-
-/**
- * Lets pending data of connections be read, so that a caller that has disconnected meanwhile is detected: its last data is
- * read in one turn of the event loop, the end of its connection in the next.
- */
-export async function readPendingData(): Promise<void> {
-    await nextTurn();
-    await nextTurn();
-}
-
 /** Starts to measure; the timer does not keep the process running. */
 export function measureEventLoopLag(clock: Clock): EventLoopLag {
     let dueAt = clock.monotonicMilliseconds() + TICK_MS;
@@ -41,7 +28,6 @@
     timer.unref();
     return {
         milliseconds: () => Math.max(0, lastDelay, clock.monotonicMilliseconds() - dueAt),
-        readPendingData,
         close: () => clearInterval(timer),
     };
 }
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { errorFields, EventLevel } from "../event-log/event-log.js";
+import { readPendingData } from "../http/read-pending-data.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
 import type { AcceptQueue } from "./accept-queue.js";
@@ -120,7 +121,7 @@
         return;
     }
     if (mayHaveDisconnected) {
-        await eventLoopLag.readPendingData();
+        await readPendingData();
     }
 
     const service = dependencies.nextService(namedRoute);
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -9,6 +9,7 @@
 import { createFeedFollower } from "../feed/follow-feeds.js";
 import { memberName } from "../formation/member-peers.js";
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
+import { trackCallerConnections } from "../http/caller-connections.js";
 import { discardRest } from "../http/discard-rest.js";
 import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
@@ -18,7 +19,6 @@
 import { watchAcceptQueue } from "./accept-queue.js";
 import { createBackendServers } from "./backend-servers.js";
 import { createBodyMemory } from "./body-memory.js";
-import { trackCallerConnections } from "./caller-connections.js";
 import { createCatalogView, type NamedRoute } from "./catalog-view.js";
 import { measureEventLoopLag } from "./event-loop-lag.js";
 import { createFeedState } from "./feed-state.js";
@@ -185,7 +185,7 @@
     });
     const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
     readBeforeIdleClose(server);
-    const connections = trackCallerConnections(server, clock, eventLoopLag.readPendingData);
+    const connections = trackCallerConnections(server, clock);
     const dependencies: ServeDependencies = {
         clock,
         counters: metrics,
--- a/packages/hyssopfront/src/gateway/caller-connections.ts
+++ b/packages/hyssopfront/src/http/caller-connections.ts
@@ -4,7 +4,8 @@
 import type { Clock } from "@hyssopfront/coordination";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { stopAccepting } from "../http/stop-accepting.js";
+import { readPendingData } from "./read-pending-data.js";
+import { stopAccepting } from "./stop-accepting.js";
 
 /**
  * Age at which a connection without a request counts as unused, in milliseconds; callers send a request as soon as they
@@ -49,17 +50,8 @@
     count(): number;
 };
 
-/**
- * Tracks the connections of a server from now on.
- *
- * @param readPendingData Lets the event loop read all that has arrived. Timers run before connections are read, so
- *     after a pause of the process a request may have waited unread for as long as the pause lasted.
- */
-export function trackCallerConnections(
-    server: Server,
-    clock: Clock,
-    readPendingData: () => Promise<void>,
-): CallerConnections {
+/** Tracks the connections of a server from now on. */
+export function trackCallerConnections(server: Server, clock: Clock): CallerConnections {
     const connections = new Map<Socket, ConnectionState>();
     let openRequests = 0;
     server.on("connection", (connection: Socket) => {
@@ -91,8 +83,9 @@
         },
         openRequests: () => openRequests,
         isPipelining: connection => (connections.get(connection)?.openRequests ?? 0) > 1,
-        stopAccepting: endsAt => stopAccepting(server, readPendingData, () => clock.monotonicMilliseconds() >= endsAt),
+        stopAccepting: endsAt => stopAccepting(server, () => clock.monotonicMilliseconds() >= endsAt),
         closeUnused: async () => {
+            // After a pause of the process, a request may have waited unread for as long as the pause lasted.
             await readPendingData();
             const now = clock.monotonicMilliseconds();
             connections.forEach((state, connection) => {
--- a/packages/hyssopfront/src/gateway/connections-at-stop/connections-at-stop.steps.ts
+++ b/packages/hyssopfront/src/http/connections-at-stop/connections-at-stop.steps.ts
@@ -4,7 +4,6 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { type CallerConnections, trackCallerConnections } from "../caller-connections.js";
-import { type EventLoopLag, measureEventLoopLag } from "../event-loop-lag.js";
 
 const HOST = "127.0.0.1";
 const REQUEST = "GET / HTTP/1.1\r\nhost: gateway.example\r\n\r\n";
@@ -15,14 +14,12 @@
 const clock = createSystemClock();
 let server: Server;
 let connections: CallerConnections;
-let lag: EventLoopLag;
 let callers: Socket[];
 let results: Promise<string>[];
 
 const startServer = async () => {
-    lag = measureEventLoopLag(clock);
     server = createServer();
-    connections = trackCallerConnections(server, clock, lag.readPendingData);
+    connections = trackCallerConnections(server, clock);
     server.on("request", (message, response) => {
         connections.startRequest(message, response);
         response.end("done");
@@ -53,7 +50,6 @@
     callers.forEach(caller => caller.destroy());
     server.closeAllConnections();
     server.close();
-    lag.close();
     await new Promise(resolve => setImmediate(resolve));
 });
 
--- a/packages/hyssopfront/src/http/read-before-idle-close.ts
+++ b/packages/hyssopfront/src/http/read-before-idle-close.ts
@@ -3,7 +3,7 @@
  */
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import { readPendingData } from "../gateway/event-loop-lag.js";
+import { readPendingData } from "./read-pending-data.js";
 
 /**
  * Lets a server read what its clients have sent before it closes connections whose idle time (`keepAliveTimeout`) is
--- a/packages/hyssopfront/src/http/stop-server.ts
+++ b/packages/hyssopfront/src/http/stop-server.ts
@@ -3,8 +3,7 @@
  */
 import type { Clock } from "@hyssopfront/coordination";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { trackCallerConnections } from "../gateway/caller-connections.js";
-import { readPendingData } from "../gateway/event-loop-lag.js";
+import { trackCallerConnections } from "./caller-connections.js";
 
 /** Interval at which a stopping server closes the connections that have become unused, in milliseconds. */
 const POLL_INTERVAL_MS = 10;
@@ -30,7 +29,7 @@
  *     connections whose last response has not been sent completely, because Node counts them as idle.
  */
 export function prepareServerStop(server: Server, clock: Clock): StopServer {
-    const connections = trackCallerConnections(server, clock, readPendingData);
+    const connections = trackCallerConnections(server, clock);
     const startRequest = (request: IncomingMessage, response: ServerResponse) =>
         connections.startRequest(request, response);
     server.prependListener("request", startRequest);
