Keep the connections to joining instances after changes of membership

After each round the leader closed its connections to all instances that were not members, those that asked to join included.

The round only takes over the members. The next one connects to them and to joining instances, as before.

--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -186,7 +186,6 @@
             await repairMembership(replica);
             // Also while its storage is closed from now on, this instance passes changes on to the members of now.
             knownMembers = listMembers(replica.status());
-            peers.maintainConnections(listContacts(replica.status()));
         }
     };
 
