Replace the voter that has been unreachable for longest

The dead voter stayed, and after the loss of two disks there was no majority.

Of several, the one that has been away longest is now replaced.

No test fails before this change; the scenarios of disk-losses.feature pass after it (5 of 5).

--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -113,7 +113,9 @@
     /** Returns the next membership change for the leader to make, or `undefined` when none is needed. */
     const findChange = ({ members }: ReplicaStatus): MembershipRequest | undefined => {
         const voters = members.filter(member => member.isVoter);
-        const unreachableVoter = voters.find(({ name }) => isUnreachable(name, REPLACED_VOTER_TIMEOUT_MS));
+        // Of several, the one that has been away longest is replaced: on a busy machine others may seem to be away too.
+        const [unreachableVoter] = voters.filter(({ name }) => isUnreachable(name, REPLACED_VOTER_TIMEOUT_MS))
+            .sort((a, b) => (reachedAt.get(a.name) ?? 0) - (reachedAt.get(b.name) ?? 0));
         if (unreachableVoter !== undefined && voters.length > options.voterCount) {
             return { kind: MembershipChange.Remove, name: unreachableVoter.name };
         }
