Take back the quick replacement of silent voters

Cause: promotes the successor of a voter 500 ms after it was last reached. A learner counts as caught up while it lacks up to 64 entries, so one whose disk does not accept its first write became the fourth voter beside a dead one, and two of four are no majority. With the 3 s of before, a disk that is full for a second has room again.

--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -16,13 +16,8 @@
 const ROUND_INTERVAL_MS = 250;
 /** Time without a leader after which an instance asks to join, as it may have been removed, in milliseconds. */
 const LEADERLESS_TIMEOUT_MS = 1_500;
-/** Time after which an unreachable member may be removed, in milliseconds. Longer than the restart of a process. */
+/** Time after which an unreachable member may be replaced, in milliseconds. Longer than the restart of a process. */
 const MEMBER_TIMEOUT_MS = 3_000;
-/**
- * Time after which an unreachable voter is replaced by a learner, in milliseconds. A further instance means that one is
- * to be replaced, and its successor must count as a voter 4 s after its start. A connection ends after 2 s of silence.
- */
-const REPLACED_VOTER_TIMEOUT_MS = 500;
 /** A joining instance repeats its request every round. Requests expire after this time, in milliseconds. */
 const JOIN_REQUEST_LIFETIME_MS = 2_000;
 /** Deadline of a join request, in milliseconds. */
@@ -92,12 +87,12 @@
         const now = clock.monotonicMilliseconds();
         peers.connected().forEach(name => reachedAt.set(name, now));
     };
-    const isUnreachable = (name: string, timeoutMilliseconds: number) => {
+    const isUnreachable = (name: string) => {
         const now = clock.monotonicMilliseconds();
         // For an instance that was never reached, the timeout starts at the first check.
         const since = reachedAt.get(name) ?? now;
         reachedAt.set(name, since);
-        return name !== self && now - since >= timeoutMilliseconds;
+        return name !== self && now - since >= MEMBER_TIMEOUT_MS;
     };
 
     const findJoiner = (members: ReplicaStatus["members"]) => {
@@ -113,9 +108,7 @@
     /** Returns the next membership change for the leader to make, or `undefined` when none is needed. */
     const findChange = ({ members }: ReplicaStatus): MembershipRequest | undefined => {
         const voters = members.filter(member => member.isVoter);
-        // Of several, the one that has been away longest is replaced: on a busy machine others may seem to be away too.
-        const [unreachableVoter] = voters.filter(({ name }) => isUnreachable(name, REPLACED_VOTER_TIMEOUT_MS))
-            .sort((a, b) => (reachedAt.get(a.name) ?? 0) - (reachedAt.get(b.name) ?? 0));
+        const unreachableVoter = voters.find(({ name }) => isUnreachable(name));
         if (unreachableVoter !== undefined && voters.length > options.voterCount) {
             return { kind: MembershipChange.Remove, name: unreachableVoter.name };
         }
@@ -127,34 +120,25 @@
         if (learner !== undefined && (voters.length < options.voterCount || unreachableVoter !== undefined)) {
             return { kind: MembershipChange.Promote, name: learner.name };
         }
-        const unreachableLearner = members.find(member =>
-            !member.isVoter && isUnreachable(member.name, MEMBER_TIMEOUT_MS)
-        );
+        const unreachableLearner = members.find(member => !member.isVoter && isUnreachable(member.name));
         return unreachableLearner === undefined
             ? undefined
             : { kind: MembershipChange.Remove, name: unreachableLearner.name };
     };
 
-    /** Makes the changes that are needed, one after another, until none is left or one fails. */
-    const repairMembership = async (replica: Replica) => {
-        let isChanged = true;
-        while (isChanged && replica.holdsLeaderLease()) {
-            const change = findChange(replica.status());
-            if (change === undefined) {
-                return;
-            }
-            isChanged = await replica.changeMembership(change).then(
-                () => {
-                    joinRequests.delete(change.name);
-                    options.onChange(change, undefined);
-                    return true;
-                },
-                (error: Error) => {
-                    // The learner is not caught up, a member is unreachable or leadership is lost. The next round retries.
-                    options.onChange(change, error);
-                    return false;
-                },
-            );
+    const repairMembership = async (replica: Replica, status: ReplicaStatus) => {
+        const change = findChange(status);
+        if (change === undefined) {
+            return;
+        }
+        try {
+            await replica.changeMembership(change);
+            joinRequests.delete(change.name);
+            options.onChange(change, undefined);
+        }
+        catch (error) {
+            // The learner is not caught up, a member is unreachable or leadership is lost. The next round retries.
+            options.onChange(change, error as Error);
         }
     };
 
@@ -184,10 +168,8 @@
         if (!isMember || replica.leaderlessForMilliseconds() > LEADERLESS_TIMEOUT_MS) {
             await requestToJoin(status);
         }
-        else if (status.role === ReplicaRole.Leader) {
-            await repairMembership(replica);
-            // Also while its storage is closed from now on, this instance passes changes on to the members of now.
-            knownMembers = listMembers(replica.status());
+        else if (status.role === ReplicaRole.Leader && replica.holdsLeaderLease()) {
+            await repairMembership(replica, status);
         }
     };
 
