--- a/packages/coordination/src/peers/listen-for-peers.ts
+++ b/packages/coordination/src/peers/listen-for-peers.ts
@@ -70,7 +70,8 @@
  * Opens a listening socket and serves the peers that connect to it.
  *
  * @returns The listener, once its socket is listening.
- * @throws ListenError when the address is in use; the reason of the abort when the wait for it is ended; Error when a TLS file cannot be read.
+ * @throws ListenError when the address is in use; the reason of the abort when the wait for it is ended; Error when a TLS
+ * file cannot be read.
  */
 export async function listenForPeers(options: ListenForPeersOptions): Promise<PeerListener> {
     const { clock } = options;
--- a/packages/hyssopfront/src/gateway/accept-queue.ts
+++ b/packages/hyssopfront/src/gateway/accept-queue.ts
@@ -13,9 +13,9 @@
 /** Time that the queue must have been non-empty before a probe measures the wait, in milliseconds. */
 const PROBE_AFTER_MS = 50;
 /**
- * Wait after which the first request of a connection is rejected, in milliseconds. Callers abandon a request that is not read within a
- * third of their timeout, and the timeout of the most urgent ones is one second. The time that remains after the wait
- * must suffice for another entry.
+ * Wait after which the first request of a connection is rejected, in milliseconds. Callers abandon a request that is not
+ * read within a third of their timeout, and the timeout of the most urgent ones is one second. The time that remains after
+ * the wait must suffice for another entry.
  */
 const MAXIMUM_WAIT_MS = 200;
 /**
