Read a whole body with the function that may stream it

Both functions of request-body.ts had the same loop. A body that is read whole is one that may always be buffered.

--- a/packages/hyssopfront/src/routing/request-body.ts
+++ b/packages/hyssopfront/src/routing/request-body.ts
@@ -18,28 +18,7 @@
  * @throws Error if the connection fails or the caller closes it before the end of the body.
  */
 export function readWholeBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
-    return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        const collect = (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes > limitBytes) {
-                request.off("data", collect);
-                request.pause();
-                reject(new BodyTooLargeError(limitBytes));
-                return;
-            }
-            chunks.push(chunk);
-        };
-        request.on("data", collect);
-        request.on("end", () => resolve(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)));
-        request.on("error", reject);
-        request.on("close", () => {
-            if (!request.complete) {
-                reject(new Error("The caller closed the connection before the body ended."));
-            }
-        });
-    });
+    return bufferOrStreamBody(request, limitBytes, () => true) as Promise<Buffer>;
 }
 
 /** A body that is forwarded while it is read. */
