--- a/review/stand-ins-2/harness.mjs
+++ b/review/stand-ins-2/harness.mjs
@@ -160,6 +160,17 @@
         record(`process ${node} started`);
     };
     machines.forEach(machine => start(machine, true));
+    /** Starts a further control instance at a new address, with an empty disk. */
+    const addControl = zone => {
+        const ip = `${network}.${10 + controlAddresses.length}`;
+        const machine = { ip, isFront: false, zone, child: undefined, node: `core-${ip}` };
+        machines.push(machine);
+        controlAddresses.push(ip);
+        start(machine, false);
+        return machine;
+    };
+    /** Removes all files of a machine's disk. */
+    const wipeDisk = ({ node }) => rmSync(join(folder, node, "data"), { recursive: true, force: true });
 
     /** Calls the control interface as the operator and the upstreams do: in turn, moving on after `waitMs`. */
     const callControl = async (call, body, { waitMs = 1_000, attempts = 20, addresses = controlAddresses } = {}) => {
@@ -212,6 +223,8 @@
         entryAddresses,
         record,
         start,
+        addControl,
+        wipeDisk,
         callControl,
         waitUntilReady,
         close,
