--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,97 +1,83 @@
 /**
- * An upstream fails part of the orders that it runs, with a status that does not say that they have not run.
+ * A control machine is replaced as planned. Once its successor has had the time to catch up, two others lose their
+ * disks.
  */
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
-import {
-    createPatch,
-    formatAnswer,
-    nextId,
-    runCase,
-    sendRequest,
-    sleep,
-    startDeployment,
-    startUpstream,
-} from "../stand-ins-2/harness.mjs";
+import { createPatch, runCase, sleep, startDeployment } from "../stand-ins-2/harness.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-/** One of the upstreams is grey: less than the share of 0.14 of the site file. */
-const UPSTREAMS = 8;
-/** Length of the trouble in the site file, and less than the share of failed requests there, which is 0.45. */
-const TROUBLE_MS = 6_500;
-const FAILED_EVERY = 3;
-const PLAY_MS = 10_000;
-/** Pause between two requests. */
-const PAUSE_MS = 10;
-/** Longer than what the entry buffers of an answer. */
-const FAILURE_BYTES = 300 * 1024;
-const PROMISES = [408, 421, 429, 503];
+const SETTLE_MS = 8_000;
+/** Time between the start of the successor and the SIGTERM, as `x` of the site file. */
+const OVERLAP_MS = 2_000;
+const CATCH_UP_MS = 4_000;
+/** Time after the successor counts as caught up at which the two machines are lost. */
+const MARGIN_MS = 500;
+const DOWN_MS = 1_000;
+const RECOVERY_MS = 15_000;
+/** Time for which the operator asks for the configuration, and for which it waits for one answer. */
+const READING_MS = 20_000;
+const ANSWER_MS = 3_000;
 
 await runCase(async () => {
     const deployment = await startDeployment({ recordFile: join(import.meta.dirname, "record.txt") });
-    const { record } = deployment;
-    const runs = new Map();
-    let troubleUntil = 0;
-    let greyRuns = 0;
+    const { record, machines, controlAddresses } = deployment;
     try {
-        const run = isGrey => (request, socket) => {
-            runs.set(request.id, (runs.get(request.id) ?? 0) + 1);
-            greyRuns += isGrey ? 1 : 0;
-            const fails = isGrey && performance.now() < troubleUntil && greyRuns % FAILED_EVERY === 0;
-            record(`run ${request.id}, answered ${fails ? 503 : 200}`);
-            socket.write(formatAnswer(
-                fails
-                    ? { id: request.id, status: 503, body: "x".repeat(FAILURE_BYTES) }
-                    : { id: request.id },
-            ));
-        };
-        const upstreams = [];
-        for (let index = 0; index < UPSTREAMS; index += 1) {
-            upstreams.push(
-                await startUpstream({
-                    deployment,
-                    id: `i-${index}`,
-                    service: "orders",
-                    host: 60 + index,
-                    run: run(index === 0),
+        const change = (version, attempts) =>
+            deployment.callControl(
+                "config.patch",
+                createPatch({
+                    version,
+                    services: ["huvo11a"],
+                    routes: [{ name: "r-2b9wu3f", path_prefix: "/lepu270/", service: "huvo11a" }],
                 }),
+                { attempts },
             );
-        }
-        const accepted = await deployment.callControl(
-            "config.patch",
-            createPatch({
-                services: ["orders"],
-                routes: [{ name: "r-1", path_prefix: "/orders/", kind: "unsafe", service: "orders" }],
-            }),
-        );
-        record(`configuration: ${accepted.status}`);
+        const first = await change(7, 20);
+        record(`first configuration: ${first.status}`);
         await deployment.waitUntilReady();
+        await sleep(SETTLE_MS);
+        const control = machines.filter(({ isFront }) => !isFront);
+        const removed = control[4];
         const startedAt = performance.now();
-        troubleUntil = HAS_TROUBLE ? startedAt + TROUBLE_MS : 0;
-        let broken = 0;
-        let served = 0;
-        for (let index = 0; performance.now() - startedAt < PLAY_MS; index += 1) {
-            const id = nextId();
-            const answer = await sendRequest(deployment.entryAddresses[0], {
-                id,
-                method: "POST",
-                path: `/orders/${index}`,
-                body: "order",
-            });
-            await sleep(PAUSE_MS);
-            record(`client ${id}: ${answer.status}, complete ${answer.isComplete}, runs ${runs.get(id) ?? 0}`);
-            served += answer.status === 200 ? 1 : 0;
-            if (PROMISES.includes(answer.status) && answer.isComplete && runs.has(id)) {
-                broken += 1;
-            }
+        const successor = deployment.addControl(removed.zone);
+        await sleep(OVERLAP_MS);
+        removed.child.kill("SIGTERM");
+        record(`SIGTERM to ${removed.node}`);
+        await removed.child.ended;
+        controlAddresses.splice(controlAddresses.indexOf(removed.ip), 1);
+        await sleep(Math.max(0, startedAt + CATCH_UP_MS + MARGIN_MS - performance.now()));
+        const second = await change(9, 20);
+        record(`change to version 9: ${second.status}`);
+        if (second.status !== 200) {
+            throw new Error("The change was not accepted.");
         }
-        upstreams.forEach(upstream => upstream.close());
-        record(`served: ${served}; answered as not run although they had run: ${broken}`);
-        if (served === 0) {
-            throw new Error("No request was served.");
+        if (HAS_TROUBLE) {
+            const lost = control.slice(0, 2);
+            lost.forEach(({ child }) => child.kill("SIGKILL"));
+            await Promise.all(lost.map(({ child }) => child.ended));
+            lost.forEach(deployment.wipeDisk);
+            record(`${lost.map(({ node }) => node).join(" and ")} lost their disks`);
+            await sleep(DOWN_MS);
+            lost.forEach(machine => deployment.start(machine, false));
+        }
+        await sleep(RECOVERY_MS);
+        let isRead = false;
+        const readingSince = performance.now();
+        for (let attempt = 0; !isRead && performance.now() - readingSince < READING_MS; attempt += 1) {
+            const address = controlAddresses[attempt % controlAddresses.length];
+            const reply = await deployment.callControl("config.get", undefined, {
+                attempts: 1,
+                addresses: [address],
+                waitMs: ANSWER_MS,
+            });
+            const body = reply.body.toString();
+            record(`config.get at ${address}: ${reply.status} ${body.slice(0, 120)}`);
+            isRead = reply.status === 200 && body.includes("\"version\":9");
         }
-        return broken > 0;
+        record(`successor ${successor.node}; read back: ${isRead}`);
+        return !isRead;
     }
     finally {
         await deployment.close();
