--- a/review/stand-ins-2/harness.mjs
+++ b/review/stand-ins-2/harness.mjs
@@ -39,6 +39,17 @@
         server.listen(PORTS.front, address, () => server.close(() => done(true)));
     });
 
+/** Programs and folders of this script. They are removed however it ends. */
+const startedPrograms = new Set();
+const folders = new Set();
+process.on("exit", () => {
+    startedPrograms.forEach(child => child.kill("SIGKILL"));
+    if (process.env.KEEP === undefined) {
+        folders.forEach(folder => rmSync(folder, { recursive: true, force: true, maxRetries: 3 }));
+    }
+});
+["SIGINT", "SIGTERM", "SIGHUP"].forEach(signal => process.on(signal, () => process.exit(2)));
+
 /** Finds a loopback network that nobody uses yet. */
 async function findNetwork() {
     for (let attempt = 0; attempt < 50; attempt += 1) {
@@ -118,6 +129,7 @@
 export async function startDeployment({ controlCount = 5, entryCount = 1, acknowledgementMs = 4_000, recordFile }) {
     const network = await findNetwork();
     const folder = mkdtempSync(join(tmpdir(), "review-"));
+    folders.add(folder);
     const startedAt = performance.now();
     writeFileSync(recordFile, "");
     const record = line =>
@@ -149,9 +161,11 @@
             stdio: ["ignore", log, log],
         });
         child.hasEnded = false;
+        startedPrograms.add(child);
         child.ended = new Promise(done =>
             child.once("exit", (code, signal) => {
                 child.hasEnded = true;
+                startedPrograms.delete(child);
                 record(`process ${node} ended, code ${code}, signal ${signal}`);
                 done();
             })
