Accept client accounts in the catalog and authenticate their requests

Cause: a configuration with accounts was rejected as a whole, since its kind of item was unknown, and nothing was ever in force. The operators' first call of a new deployment got 400, and all requests 404.

Change: the catalog holds client accounts with the hashes of their keys; the state machine rejects a change after which two accounts share a key. Entries authenticate requests once there are accounts, set the account's name for the backend server, and apply its priority and home regions. An empty catalog answers 503.

--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -3,6 +3,7 @@
  * departures of backend servers.
  */
 import { decode, encode } from "cbor-x";
+import { type ClientAccount, findSharedKeyHash } from "../client-accounts/client-account.js";
 import { createDepartures, type Departure } from "./departures.js";
 import { type Item, itemKey, ItemKind } from "./items.js";
 
@@ -105,6 +106,19 @@
             .find(({ service }) => after.get(itemKey(ItemKind.Service, service))?.value === undefined)?.service;
     };
 
+    /** Returns the accounts after a change that sets some of them, or none if the change sets no account. */
+    const listAccountsAfter = (changed: readonly Item[]): readonly ClientAccount[] => {
+        const changedAccounts = new Map(
+            changed.filter(({ kind }) => kind === ItemKind.ClientAccount).map(
+                item => [itemKey(item.kind, item.name), item],
+            ),
+        );
+        return changedAccounts.size === 0
+            ? []
+            : [...new Map([...items, ...changedAccounts]).values()]
+                .flatMap(({ value }) => value?.kind === ItemKind.ClientAccount ? [value.account] : []);
+    };
+
     const applyChange = (submitted: readonly Item[]): CommandResult => {
         // Only items that take effect are validated: a change that was accepted must not be rejected when it is resent.
         const changed = [...new Map(
@@ -115,6 +129,9 @@
         if (unknownService !== undefined) {
             return { error: `The service ${unknownService} is not known.` };
         }
+        if (findSharedKeyHash(listAccountsAfter(changed)) !== undefined) {
+            return { error: "Two client accounts share a key." };
+        }
         store(changed);
         return ACCEPTED;
     };
--- a/packages/hyssopfront/src/catalog/items.ts
+++ b/packages/hyssopfront/src/catalog/items.ts
@@ -1,11 +1,14 @@
 /**
- * Items that operators configure for the gateway. Routes, services, limits and evacuations each have their own version.
+ * Items that operators configure for the gateway. Routes, services, client accounts, limits and evacuations each have
+ * their own version.
  */
+import type { ClientAccount } from "../client-accounts/client-account.js";
 
 /** Kinds of catalog items. */
 export enum ItemKind {
     Route = "route",
     Service = "service",
+    ClientAccount = "client-account",
     Limits = "limits",
     /** Whether an availability zone is evacuated, so that its backend servers receive no requests. */
     Evacuation = "evacuation",
@@ -33,6 +36,8 @@
     readonly maximumAttempts: number;
     /** True when a backend server responds faster for an object that it has processed recently. */
     readonly hasAffinity: boolean;
+    /** True when requests need no API key although there are client accounts. Undefined in items of earlier releases. */
+    readonly allowsAnonymous?: boolean;
     /** Regions that may serve the route; empty when all may. */
     readonly homeRegions: readonly string[];
 };
@@ -62,6 +67,7 @@
 export type ItemValue =
     | { readonly kind: ItemKind.Route; readonly route: Route }
     | { readonly kind: ItemKind.Service; readonly policy: ServicePolicy }
+    | { readonly kind: ItemKind.ClientAccount; readonly account: ClientAccount }
     | { readonly kind: ItemKind.Limits; readonly limits: CallerLimits }
     | { readonly kind: ItemKind.Evacuation; readonly isActive: boolean };
 
--- a/packages/hyssopfront/src/gateway/catalog-view.ts
+++ b/packages/hyssopfront/src/gateway/catalog-view.ts
@@ -2,6 +2,7 @@
  * The catalog as an entry sees it: the highest version of each item that any control instance has published.
  */
 import { type CallerLimits, type Item, itemKey, ItemKind, type Route, type ServicePolicy } from "../catalog/items.js";
+import { type AccountIndex, createAccountIndex } from "../client-accounts/account-index.js";
 
 /**
  * Limits that apply until the limits of the operators arrive. They are generous, because a request that complies with
@@ -27,10 +28,13 @@
     findRoute(host: string, path: string): NamedRoute | undefined;
     getPolicy(service: string): ServicePolicy | undefined;
     limits(): CallerLimits;
+    readonly accounts: AccountIndex;
     isEvacuated(availabilityZone: string): boolean;
     /** Changes whenever an evacuation begins or ends. */
     evacuationGeneration(): number;
     items(): readonly Item[];
+    /** True before the first item. */
+    readonly isEmpty: boolean;
 };
 
 /** Routes of one host by prefix, and the lengths of the prefixes, longest first, which are listed when they are needed. */
@@ -46,6 +50,7 @@
 export function createCatalogView(): CatalogView {
     const items = new Map<string, Item>();
     const routesByHost = new Map<string, HostRoutes>();
+    const accounts = createAccountIndex();
     let limits = DEFAULT_LIMITS;
     let evacuationGeneration = 0;
 
@@ -92,6 +97,12 @@
                 addRoute({ name: item.name, version: item.version, route: item.value.route });
             }
             evacuationGeneration += item.kind === ItemKind.Evacuation ? 1 : 0;
+            if (item.kind === ItemKind.ClientAccount) {
+                accounts.set(
+                    item.name,
+                    item.value?.kind === ItemKind.ClientAccount ? item.value.account : undefined,
+                );
+            }
             if (item.kind === ItemKind.Limits) {
                 limits = item.value?.kind === ItemKind.Limits ? item.value.limits : DEFAULT_LIMITS;
             }
@@ -111,11 +122,15 @@
             return value?.kind === ItemKind.Service ? value.policy : undefined;
         },
         limits: () => limits,
+        accounts,
         isEvacuated: availabilityZone => {
             const value = getValue(ItemKind.Evacuation, availabilityZone);
             return value?.kind === ItemKind.Evacuation && value.isActive;
         },
         evacuationGeneration: () => evacuationGeneration,
         items: () => [...items.values()],
+        get isEmpty() {
+            return items.size === 0;
+        },
     };
 }
--- a/packages/hyssopfront/src/gateway/gateway-request.ts
+++ b/packages/hyssopfront/src/gateway/gateway-request.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import type { CallerLimits } from "../catalog/items.js";
+import { CREDENTIALS_HEADER } from "../client-accounts/authenticate.js";
 import { selectRequestHeaders } from "../routing/headers.js";
 import { BodyTooLargeError, bufferOrStreamBody, streamBody, type StreamedBody } from "../routing/request-body.js";
 import type { BodyMemoryReservation } from "./body-memory.js";
@@ -46,13 +47,41 @@
     return message.rawHeaders.reduce((sum, text) => sum + text.length + 2, message.url?.length ?? 0);
 }
 
-/** Omits hop-by-hop headers and those that the gateway sets itself. */
-function selectForwardedHeaders(message: IncomingMessage, headerNames: HeaderNames): string[] {
+/** Host and path that select the route of a request. */
+export type RequestTarget = { readonly host: string; readonly path: string };
+
+/** Returns the host without its port, and the path without its query. */
+export function readTarget(message: IncomingMessage): RequestTarget {
+    return {
+        host: (message.headers.host ?? "").toLowerCase().replace(/:\d+$/, ""),
+        path: (message.url ?? "/").split("?", 1)[0] as string,
+    };
+}
+
+/** Who sends a request, if the deployment has client accounts. */
+export type RequestIdentity = {
+    /** Name of the client account; undefined for an anonymous request. */
+    readonly accountName: string | undefined;
+};
+
+/** Omits hop-by-hop headers and those that the gateway sets itself, such as the client account in place of its key. */
+function selectForwardedHeaders(
+    message: IncomingMessage,
+    headerNames: HeaderNames,
+    identity: RequestIdentity | undefined,
+): string[] {
     const headers = selectRequestHeaders(message.rawHeaders, message.headers.connection);
-    const overwritten = new Set([headerNames.deadline, headerNames.expectedBackendServer, "content-length"]);
-    return headers.flatMap((name, index) =>
+    const overwritten = new Set([
+        headerNames.deadline,
+        headerNames.expectedBackendServer,
+        "content-length",
+        ...identity === undefined ? [] : [CREDENTIALS_HEADER, headerNames.clientAccount],
+    ]);
+    const accountHeader = identity?.accountName === undefined ? [] : [headerNames.clientAccount, identity.accountName];
+    const forwarded = headers.flatMap((name, index) =>
         index % 2 === 0 && !overwritten.has(name) ? [name, headers[index + 1] as string] : []
     );
+    return [...forwarded, ...accountHeader];
 }
 
 /**
@@ -98,6 +127,7 @@
  * Reads a request with its body.
  *
  * @param memory Reserves the memory of the bodies of the request and its response.
+ * @param identity Who sends the request; undefined if the deployment has no client accounts.
  * @throws BodyTooLargeError if the body exceeds the limit; the error of the connection if the caller closes it early.
  */
 export async function readGatewayRequest(
@@ -105,20 +135,20 @@
     headerNames: HeaderNames,
     limits: CallerLimits,
     memory: BodyMemoryReservation,
+    identity?: RequestIdentity,
 ): Promise<GatewayRequest> {
-    const url = message.url ?? "/";
     const deadline = Number(message.headers[headerNames.deadline]);
     const contentLength = message.headers["content-length"];
     const body = await readBody(message, limits, memory);
-    const headers = selectForwardedHeaders(message, headerNames);
+    const headers = selectForwardedHeaders(message, headerNames, identity);
     if (body !== undefined && !Buffer.isBuffer(body) && contentLength !== undefined) {
         headers.push("content-length", contentLength);
     }
     return {
         id: String(message.headers[headerNames.requestId] ?? ""),
         method: message.method ?? "GET",
-        path: url,
-        host: (message.headers.host ?? "").toLowerCase().replace(/:\d+$/, ""),
+        path: message.url ?? "/",
+        host: readTarget(message).host,
         headers,
         affinityKey: findCookie(message.headers.cookie, headerNames.affinityCookie),
         callerTimeoutMilliseconds: Number.isFinite(deadline) && deadline > 0 ? deadline : undefined,
--- a/packages/hyssopfront/src/gateway/header-names.ts
+++ b/packages/hyssopfront/src/gateway/header-names.ts
@@ -8,6 +8,8 @@
     readonly deadline: string;
     /** Cookie with the affinity key, which identifies the object of a request. */
     readonly affinityCookie: string;
+    /** To a backend server: name of the client account of the request. */
+    readonly clientAccount: string;
     /** In a response: proves that it comes from a backend server. */
     readonly responseSignature: string;
     /** Id of the only backend server that may run the request. */
--- a/packages/hyssopfront/src/gateway/sample-header-names.ts
+++ b/packages/hyssopfront/src/gateway/sample-header-names.ts
@@ -7,6 +7,7 @@
     requestId: "test-request-id",
     deadline: "test-deadline",
     affinityCookie: "test-object",
+    clientAccount: "test-account",
     responseSignature: "test-signature",
     expectedBackendServer: "test-expected",
     notExecuted: "test-not-run",
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -3,6 +3,9 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { Route } from "../catalog/items.js";
+import { authenticate, CREDENTIALS_HEADER } from "../client-accounts/authenticate.js";
+import { type ClientAccount, intersectHomeRegions } from "../client-accounts/client-account.js";
 import { errorFields, EventLevel } from "../event-log/event-log.js";
 import { readPendingData } from "../http/read-pending-data.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
@@ -13,7 +16,13 @@
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
 import { forward, type ForwardDependencies } from "./forward.js";
-import { countHeaderBytes, type GatewayRequest, readGatewayRequest } from "./gateway-request.js";
+import {
+    countHeaderBytes,
+    type GatewayRequest,
+    readGatewayRequest,
+    readTarget,
+    type RequestIdentity,
+} from "./gateway-request.js";
 
 /** Wait of an unread request beyond which its caller may have disconnected, in milliseconds. */
 const NOTICEABLE_LAG_MS = 50;
@@ -27,6 +36,8 @@
 const OVERLOADED_RETRY_MS = 200;
 /** Time after which callers that were rejected before the catalog was complete should retry, in milliseconds. */
 const NOT_READY_RETRY_MS = 300;
+/** Time after which callers that no region may serve should retry, in milliseconds. */
+const NO_REGION_RETRY_MS = 1_000;
 
 /** What serving requests needs from its entry. */
 export type ServeDependencies = ForwardDependencies & {
@@ -46,6 +57,15 @@
 const rejectionLag = (priority: number) =>
     REJECTION_LAG_MS + (LOWEST_PRIORITY - Math.min(LOWEST_PRIORITY, priority)) * REJECTION_LAG_STEP_MS;
 
+/** Applies the priority and home regions of an account to a route; undefined if no region may serve the request. */
+function applyAccount(route: Route, account: ClientAccount | undefined): Route | undefined {
+    if (account === undefined) {
+        return route;
+    }
+    const homeRegions = intersectHomeRegions(route.homeRegions, account.homeRegions);
+    return homeRegions && { ...route, homeRegions, priority: account.priority ?? route.priority };
+}
+
 /** Serves one request. Resolves when the response has been handed to the connection or the connection is closed. */
 export async function serveRequest(
     dependencies: ServeDependencies,
@@ -85,7 +105,7 @@
         caller.sendLocalResponse({ status, retryAfterMilliseconds });
     };
 
-    if (!dependencies.isCatalogComplete()) {
+    if (!dependencies.isCatalogComplete() || catalog.isEmpty) {
         respond(503, "the catalog is not complete yet", NOT_READY_RETRY_MS);
         return;
     }
@@ -97,9 +117,26 @@
         respond(431, "the headers are too large");
         return;
     }
+    const target = readTarget(message);
+    const requestedRoute = catalog.findRoute(target.host, target.path);
+    const account = authenticate(
+        catalog.accounts,
+        message.headers[CREDENTIALS_HEADER],
+        requestedRoute?.route.allowsAnonymous ?? false,
+    );
+    if (typeof account === "string") {
+        if (requestedRoute === undefined) {
+            respond(404, "no route matches");
+            return;
+        }
+        metrics.increment("gateway.unauthenticated_requests", 1, { reason: account });
+        respond(401, account);
+        return;
+    }
+    const identity: RequestIdentity | undefined = catalog.accounts.isEmpty ? undefined : { accountName: account?.name };
     let request: GatewayRequest;
     try {
-        request = await readGatewayRequest(message, headerNames, catalog.limits(), reservation);
+        request = await readGatewayRequest(message, headerNames, catalog.limits(), reservation, identity);
     }
     catch (error) {
         if (error instanceof BodyTooLargeError) {
@@ -111,12 +148,17 @@
         }
         return;
     }
-    const namedRoute = catalog.findRoute(request.host, request.path.split("?", 1)[0] as string);
+    const namedRoute = catalog.findRoute(target.host, target.path);
     if (namedRoute === undefined) {
         respond(404, "no route matches");
         return;
     }
-    if (isLagging && lagMilliseconds > rejectionLag(namedRoute.route.priority)) {
+    const route = applyAccount(namedRoute.route, account);
+    if (route === undefined) {
+        respond(503, "no region may serve both the route and the account", NO_REGION_RETRY_MS);
+        return;
+    }
+    if (isLagging && lagMilliseconds > rejectionLag(route.priority)) {
         respond(503, "the entry is overloaded", OVERLOADED_RETRY_MS);
         return;
     }
@@ -125,21 +167,25 @@
     }
 
     const service = dependencies.nextService(namedRoute);
-    const outcome = await forward(dependencies, request, namedRoute.route, service, startedAt, caller);
+    const outcome = await forward(dependencies, request, route, service, startedAt, caller);
     const elapsed = clock.monotonicMilliseconds() - startedAt;
     metrics.increment("gateway.requests", 1, { service, outcome });
     metrics.observe("gateway.request", elapsed, { service, outcome });
+    if (account !== undefined) {
+        metrics.increment("gateway.account_requests", 1, { account: account.name, outcome });
+    }
     const hasFailed = response.statusCode >= 400 || !response.headersSent;
-    if (hasFailed || elapsed > namedRoute.route.latencyObjectiveMilliseconds) {
+    if (hasFailed || elapsed > route.latencyObjectiveMilliseconds) {
         log(hasFailed ? EventLevel.Warning : EventLevel.Info, "request ended", {
             request: id,
             route: namedRoute.name,
             version: namedRoute.version,
             service,
+            account: account?.name,
             outcome,
             status: response.headersSent ? response.statusCode : undefined,
             milliseconds: Math.round(elapsed),
-            objective: namedRoute.route.latencyObjectiveMilliseconds,
+            objective: route.latencyObjectiveMilliseconds,
             delay: Math.round(lagMilliseconds),
             acceptWait: Math.round(acceptWait.milliseconds),
         });
