--- a/packages/hyssopfront/src/gateway/gateway.feature
+++ b/packages/hyssopfront/src/gateway/gateway.feature
@@ -322,6 +322,39 @@
     Then 1 request reaches the backend server in the first 60 ms
     And each caller gets 200
 
+  # Guards against a caller that acts for another account, and against keys that reach backend servers.
+  Scenario: The backend server gets the account of the key and not the key
+    Given stoc-1 of stoc responds
+    And the client account shop with the key k1
+    When a caller sends a request to stoc with the credentials "Bearer k1" and claims to be bank
+    Then the caller gets 200 with the body and signature of the backend server
+    And stoc-1 got a request of the account shop without its key
+
+  Scenario Outline: Requests without a known key are rejected once there are client accounts
+    Given stoc-1 of stoc responds
+    And the client account shop with the key k1
+    When a caller sends a request to stoc with the credentials "<credentials>" and claims to be shop
+    Then the caller gets 401
+    And the backend servers got 0 requests
+
+    Examples:
+      | credentials |
+      |             |
+      | Bearer k2   |
+
+  # Guards against changed headers in deployments that have no client accounts.
+  Scenario: Without client accounts the headers of callers are forwarded
+    Given stoc-1 of stoc responds
+    When a caller sends a request to stoc with the credentials "Basic xyz" and claims to be bank
+    Then the caller gets 200 with the body and signature of the backend server
+    And stoc-1 got the credentials "Basic xyz" and the claim bank
+
+  # Guards against 404 for routes that are about to be set when a deployment starts.
+  Scenario: A complete catalog without any item gets 503
+    Given an entry that has read an empty catalog
+    When a caller sends a request to stoc
+    Then the caller gets 503
+
   Scenario: A request without a matching route gets 404, or 503 before the catalog is complete
     When a caller sends a request to nothing
     Then the caller gets 404
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -6,6 +6,7 @@
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
 import { SAMPLE_ROUTE } from "../catalog/sample-route.js";
+import { hashApiKey } from "../client-accounts/client-account.js";
 import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
 import { createFeedServer } from "../feed/serve-feed.js";
 import { ControlRequestKind, FeedKey, GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
@@ -411,6 +412,7 @@
     affinityKey?: string,
     disconnectsAfter?: number,
     connection?: Socket,
+    headers: Readonly<Record<string, string>> = {},
 ): Promise<CallerResponse> {
     lastRequestNumber += 1;
     sentAt = Date.now();
@@ -426,6 +428,7 @@
                 [NAMES.requestId]: `q${lastRequestNumber}`,
                 [NAMES.deadline]: String(DEADLINE_MS),
                 cookie: `${NAMES.affinityCookie}=${affinityKey ?? `o${lastRequestNumber}`}`,
+                ...headers,
             },
         }, response => {
             const chunks: Buffer[] = [];
@@ -482,6 +485,12 @@
     await closeAll();
     await startEntry(false);
 });
+Given("an entry that has read an empty catalog", async () => {
+    await closeAll();
+    await startEntry(false);
+    feed.markComplete();
+    await waitUntil(gateway.isReady);
+});
 Given("an entry that may take {int} ms to stop", async (milliseconds: number) => {
     await closeAll();
     await startEntry(true, milliseconds);
@@ -495,6 +504,34 @@
     responses = [send(service)];
     await Promise.all(responses);
 });
+Given("the client account {word} with the key {word}", async (name: string, key: string) => {
+    const account = { name, keyHashes: [hashApiKey(key)], priority: undefined, quota: undefined, homeRegions: [] };
+    publishItem({
+        kind: ItemKind.ClientAccount,
+        name,
+        version: 1,
+        value: { kind: ItemKind.ClientAccount, account },
+    });
+    await waitForFeed();
+});
+When(
+    "a caller sends a request to stoc with the credentials {string} and claims to be {word}",
+    (credentials: string, name: string) => {
+        const headers = { [NAMES.clientAccount]: name, ...credentials === "" ? {} : { authorization: credentials } };
+        responses = [send("stoc", undefined, undefined, undefined, headers)];
+    },
+);
+Then("{word} got a request of the account {word} without its key", (id: string, name: string) => {
+    const [request] = fakeServers.get(id)?.requests ?? [];
+    assert.match(request ?? "", new RegExp(`^${NAMES.clientAccount}: ${name}\r$`, "im"));
+    assert.equal(request?.match(new RegExp(`^${NAMES.clientAccount}:`, "gim"))?.length, 1);
+    assert.doesNotMatch(request ?? "", /authorization/i);
+});
+Then("{word} got the credentials {string} and the claim {word}", (id: string, credentials: string, name: string) => {
+    const [request] = fakeServers.get(id)?.requests ?? [];
+    assert.match(request ?? "", new RegExp(`^authorization: ${credentials}\r$`, "im"));
+    assert.match(request ?? "", new RegExp(`^${NAMES.clientAccount}: ${name}\r$`, "im"));
+});
 When("a caller sends a request to {word} {int} times", async (service: string, times: number) => {
     responses = [];
     for (let count = 0; count < times; count += 1) {
