Release changes of a feed to its readers together

While backend servers change, each reader of a feed was woken by each change and read again as soon as its pause of 50 ms had ended, at a position of its own. At 30 changes a second, a control instance served up to 15 reads a second of each entry that reads values from it, and encoded most batches for one reader only.

A feed now releases changes to waiting readers at most once every 200 ms; the first change after a quiet time is released at once. Readers therefore read at few positions and share the encoded batches. A read that arrives between two releases also gets what is not released yet, so that a key which changes again and again cannot be held back. The path of a change through the nearest control instance grows by at most 200 ms of the 2,000 ms within which it must be in force. The waits of readers share one timer instead of an abort controller and a sleep each.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -3,6 +3,7 @@
  * storage, a replicated log, and publication of revisioned state.
  */
 export { type Clock, CLOCK_RATE_ERROR, prolongForClockRate } from "./clock/clock.js";
+export { createDeadlineTimer, type DeadlineTimer } from "./clock/deadline-timer.js";
 export { DeadlineError, withDeadline } from "./clock/deadline.js";
 export { createManualClock, type ManualClock } from "./clock/manual-clock.js";
 export { createSystemClock } from "./clock/system-clock.js";
--- a/packages/hyssopfront/src/feed/change-feed.ts
+++ b/packages/hyssopfront/src/feed/change-feed.ts
@@ -5,7 +5,7 @@
  * neither a history nor an order across instances. An entry reads the values from one instance and only the versions
  * from the others, from which it fetches what the first one has not delivered.
  */
-import type { Clock } from "@hyssopfront/coordination";
+import { type Clock, createDeadlineTimer } from "@hyssopfront/coordination";
 import { encode } from "cbor-x";
 import { z } from "zod";
 
@@ -16,6 +16,11 @@
 const MAXIMUM_REPLY_BYTES = 128 * 1024;
 /** Time for which a reply is sent to further readers, in milliseconds, although its values depend on the time. */
 const REPLY_LIFETIME_MS = 100;
+/**
+ * Least time between two releases of changes to waiting readers, in milliseconds. All readers then read at the same few
+ * positions, so that a batch is encoded once for many of them. A change must be in force at the entries within 2,000 ms.
+ */
+const RELEASE_INTERVAL_MS = 200;
 /** Replaced changes that are kept in the order of changes before it is compacted, as a multiple of the current ones. */
 const COMPACTION_RATIO = 2;
 
@@ -69,8 +74,9 @@
     markComplete(): void;
     readonly isComplete: boolean;
     /**
-     * Resolves with the changes after the position as soon as there are any, or after the requested wait. A long reply
-     * is limited; the next read continues at its position.
+     * Resolves with the changes after the position as soon as they are released, which is 200 ms after the previous
+     * release or at once, or after the requested wait. A read without a wait gets all changes. A long reply is limited;
+     * the next read continues at its position.
      */
     read(request: FeedReadRequest, signal: AbortSignal): Promise<FeedBatch>;
     /** Returns the current values of the keys, as many as fit into one reply. */
@@ -86,27 +92,47 @@
     /** Keys in the order of their changes, with changes that were replaced since the last compaction. */
     let order: { readonly key: string; readonly position: number }[] = [];
     const waitingReaders = new Set<() => void>();
+    const waitDeadlines = createDeadlineTimer(clock);
     let position = 0;
+    /** Position up to which waiting readers have been told of the changes. */
+    let releasedPosition = 0;
+    let releasedAt = -Infinity;
+    let isReleaseScheduled = false;
     let isComplete = false;
+    /** Readers wait at the same position for the same change, so most of them get the same batch. */
+    let recentBatches = new Map<string, { readonly batch: FeedBatch; readonly expiresAt: number }>();
 
-    const wakeReaders = () => {
+    const release = () => {
+        releasedPosition = position;
+        releasedAt = clock.monotonicMilliseconds();
+        recentBatches = new Map();
         const readers = [...waitingReaders];
         waitingReaders.clear();
         readers.forEach(reader => reader());
     };
+    /** Releases the changes of the current task together, and those that follow within the interval with the next. */
+    const scheduleRelease = () => {
+        if (!isReleaseScheduled) {
+            isReleaseScheduled = true;
+            const wait = releasedAt + RELEASE_INTERVAL_MS - clock.monotonicMilliseconds();
+            void clock.sleep(Math.max(0, wait)).then(() => {
+                isReleaseScheduled = false;
+                release();
+            });
+        }
+    };
 
-    const waitForChange = (milliseconds: number, signal: AbortSignal) =>
+    const waitForRelease = (milliseconds: number, signal: AbortSignal) =>
         new Promise<void>(resolve => {
-            const wakeUp = new AbortController();
             const end = () => {
                 waitingReaders.delete(end);
                 signal.removeEventListener("abort", end);
-                wakeUp.abort(FEED_CHANGED);
+                cancelDeadline();
                 resolve();
             };
+            const cancelDeadline = waitDeadlines.add(milliseconds, end);
             waitingReaders.add(end);
             signal.addEventListener("abort", end, { once: true });
-            clock.sleep(milliseconds, wakeUp.signal).then(end, () => undefined);
         });
 
     const isCurrent = (change: { readonly key: string; readonly position: number }) =>
@@ -158,28 +184,30 @@
         return { keyCount, values };
     };
 
-    const listChangesAfter = (after: number, versionsOnly: boolean): FeedBatch => {
+    /**
+     * Lists the changes after a position, with those that are not released yet: a change that replaces a released one
+     * must not delay it. The next read starts at the end position nevertheless, and gets the latter again.
+     */
+    const listChangesAfter = (after: number, endPosition: number, versionsOnly: boolean): FeedBatch => {
         const pending = order.slice(findFirstAfter(after)).filter(isCurrent);
         const { keyCount, values } = collect(pending.map(({ key }) => key), versionsOnly);
         const hasMore = keyCount < pending.length;
         return {
             feedId,
-            position: hasMore ? pending[keyCount - 1]?.position ?? after : position,
+            position: hasMore ? pending[keyCount - 1]?.position ?? after : endPosition,
             isComplete: isComplete && !hasMore,
             values,
         };
     };
 
-    /** Readers wait at the same position for the same change, so most of them get the same batch. */
-    let recentBatches = new Map<string, { readonly batch: FeedBatch; readonly expiresAt: number }>();
-    const getBatch = (after: number, versionsOnly: boolean): FeedBatch => {
-        const key = `${after} ${versionsOnly}`;
+    const getBatch = (after: number, endPosition: number, versionsOnly: boolean): FeedBatch => {
+        const key = `${after} ${endPosition} ${versionsOnly}`;
         const now = clock.monotonicMilliseconds();
         const recent = recentBatches.get(key);
         if (recent !== undefined && now < recent.expiresAt) {
             return recent.batch;
         }
-        const batch = listChangesAfter(after, versionsOnly);
+        const batch = listChangesAfter(after, endPosition, versionsOnly);
         recentBatches.set(key, { batch, expiresAt: now + REPLY_LIFETIME_MS });
         return batch;
     };
@@ -187,20 +215,18 @@
     return {
         set: (key, read, version) => {
             position += 1;
-            recentBatches = new Map();
             changes.set(key, { position, read, version });
             order.push({ key, position });
             if (order.length > changes.size * COMPACTION_RATIO) {
                 order = order.filter(isCurrent);
             }
-            wakeReaders();
+            scheduleRelease();
         },
         markComplete: () => {
             if (!isComplete) {
                 isComplete = true;
                 position += 1;
-                recentBatches = new Map();
-                wakeReaders();
+                release();
             }
         },
         get isComplete() {
@@ -208,13 +234,12 @@
         },
         read: async (request, signal) => {
             const after = request.feedId === feedId ? request.afterPosition : 0;
-            if (after >= position && request.waitMilliseconds > 0) {
-                await waitForChange(request.waitMilliseconds, signal);
+            if (after >= releasedPosition && request.waitMilliseconds > 0) {
+                await waitForRelease(request.waitMilliseconds, signal);
             }
-            return getBatch(after, request.versionsOnly ?? false);
+            const endPosition = request.waitMilliseconds > 0 ? Math.max(after, releasedPosition) : position;
+            return getBatch(after, endPosition, request.versionsOnly ?? false);
         },
         readValues: keys => collect(keys, false),
     };
 }
-
-const FEED_CHANGED = new Error("The feed has changed.");
