Count the wait for the nearest instance as part of the pause between reads

While backend servers change, a read of versions nearly always names some that the nearest control instance has not delivered yet. The entry then waited 500 ms, sent a report so that the instance did not list it as disconnected, and paused another 800 ms: two calls to each of the other instances every 1.3 s, and 1.35 s without an open read.

The pause of 800 ms now starts with the reply and includes the wait, and no report is sent for the first wait, because the next read follows before the 1,500 ms after which an entry counts as disconnected. A change that only the other instances deliver reaches the entry sooner: at worst 800 ms instead of 1.3 s pass until it is read.

--- a/packages/hyssopfront/src/feed/feed.feature
+++ b/packages/hyssopfront/src/feed/feed.feature
@@ -22,6 +22,14 @@
     When each control instance but the nearest one gets the same 10 items of 500 bytes
     Then the entry has 10 items within 2 s
 
+  # Guards against calls that each change costs at every control instance, and against an entry that an instance lists as
+  # disconnected because it has no read open for 1,500 ms.
+  Scenario: While values change all the time, an entry reads versions once every 800 ms
+    Given an entry that follows 3 control instances through a link of 100 Mbit/s
+    When a value of each control instance changes every 20 ms for 4 s
+    Then each instance but the nearest one has got at most 8 reads and no report
+    And it was never without an open read for more than 1300 ms
+
   Scenario: Values are read from another control instance when the nearest one is lost
     Given an entry that follows 3 control instances through a link of 100 Mbit/s
     When the nearest control instance stops
--- a/packages/hyssopfront/src/feed/feed.steps.ts
+++ b/packages/hyssopfront/src/feed/feed.steps.ts
@@ -32,7 +32,14 @@
 const LINK_INTERVAL_MS = 10;
 
 type Item = { readonly version: number; readonly text: string };
-type ControlInstance = { readonly name: string; readonly feed: ChangeFeed; readonly listener: PeerListener };
+type ControlInstance = {
+    readonly name: string;
+    readonly feed: ChangeFeed;
+    readonly listener: PeerListener;
+    readonly calls: Calls;
+};
+/** Calls of the entry. `readEndedAt` is undefined while a read is open. */
+type Calls = { reads: number; reports: number; readEndedAt: number | undefined; longestGap: number };
 type Link = { readonly server: Server; readonly sockets: Set<Socket>; readonly port: number };
 
 const clock = createSystemClock();
@@ -102,20 +109,34 @@
     const name = `${HOST}:${port}`;
     const instanceFeed = createChangeFeed({ clock, feedId: name });
     const feedServer = createFeedServer(instanceFeed);
+    const calls: Calls = { reads: 0, reports: 0, readEndedAt: undefined, longestGap: 0 };
+    const startRead = () => {
+        calls.reads += 1;
+        const gap = clock.monotonicMilliseconds() - (calls.readEndedAt ?? Infinity);
+        calls.longestGap = Math.max(calls.longestGap, gap);
+        calls.readEndedAt = undefined;
+    };
     const listener = await listenForPeers({
         clock,
         address: HOST,
         port: 0,
         self: { clusterId: GATEWAY_CLUSTER_ID, name, incarnation: "1", role: "control", availabilityZone },
         handle: routePeerRequests({
-            [ControlRequestKind.ReadFeed]: (_from, payload, signal) =>
-                feedServer.read(readFeedRequestSchema.parse(payload).read, signal),
+            [ControlRequestKind.ReadFeed]: (_from, payload, signal) => {
+                startRead();
+                return feedServer.read(readFeedRequestSchema.parse(payload).read, signal).finally(() => {
+                    calls.readEndedAt = clock.monotonicMilliseconds();
+                });
+            },
             [ControlRequestKind.ReadFeedValues]: async (_from, payload) =>
                 feedServer.readValues(feedValuesRequestSchema.parse(payload).keys),
-            [ControlRequestKind.ReportEntry]: async () => ({}),
+            [ControlRequestKind.ReportEntry]: async () => {
+                calls.reports += 1;
+                return {};
+            },
         }),
     });
-    return { instance: { name, feed: instanceFeed, listener }, port: listener.port };
+    return { instance: { name, feed: instanceFeed, listener, calls }, port: listener.port };
 }
 
 Given(
@@ -200,6 +221,40 @@
     "each control instance but the nearest one gets the same {int} items of {int} bytes",
     (count: number, bytes: number) => setItems(instances.slice(1), count, bytes),
 );
+async function changeValues(milliseconds: number, interval: number, change: (index: number) => void): Promise<void> {
+    const endsAt = clock.monotonicMilliseconds() + milliseconds;
+    for (let index = 0; clock.monotonicMilliseconds() < endsAt; index += 1) {
+        change(index);
+        await clock.sleep(interval);
+    }
+}
+When(
+    "a value of each control instance changes every {int} ms for {int} s",
+    async (interval: number, seconds: number) => {
+        instances.forEach(({ calls }) => Object.assign(calls, { reads: 0, reports: 0, longestGap: 0 }));
+        await changeValues(
+            seconds * 1_000,
+            interval,
+            index =>
+                instances.forEach(instance =>
+                    instance.feed.set(`item/${index % 100}`, () => ({ version: index, text: "" }), index)
+                ),
+        );
+    },
+);
+Then("each instance but the nearest one has got at most {int} reads and no report", (reads: number) => {
+    instances.slice(1).forEach(({ calls }) => {
+        assert.ok(calls.reads <= reads && calls.reads > 0, `${calls.reads} reads.`);
+        assert.equal(calls.reports, 0);
+    });
+});
+Then(
+    "it was never without an open read for more than {int} ms",
+    (milliseconds: number) =>
+        instances.slice(1).forEach(({ calls }) =>
+            assert.ok(calls.longestGap <= milliseconds, `${calls.longestGap} ms without a read.`)
+        ),
+);
 When("the nearest control instance stops", async () => {
     const [nearest] = instances.splice(0, 1);
     await nearest?.listener.close();
--- a/packages/hyssopfront/src/feed/follow-feeds.ts
+++ b/packages/hyssopfront/src/feed/follow-feeds.ts
@@ -23,7 +23,10 @@
 const REPORT_DEADLINE_MS = 1_000;
 /** Pause between two reads of values, in milliseconds, which collects changes into one reply. */
 const VALUES_PAUSE_MS = 50;
-/** Pause between two reads of versions, in milliseconds. */
+/**
+ * Time from the reply of a read of versions to the next read, in milliseconds, waits for the nearest instance included. A
+ * control instance lists an entry without an open read for 1,500 ms.
+ */
 const VERSIONS_PAUSE_MS = 800;
 /** Time for the nearest instance to deliver values whose versions are known, in milliseconds. */
 const DELIVERY_GRACE_MS = 500;
@@ -84,9 +87,11 @@
             if (nearest === undefined || nearest === feed) {
                 break;
             }
+            if (waits > 0) {
+                // No read is open meanwhile, so the instance would otherwise consider this entry disconnected.
+                await reportTo(feed);
+            }
             await clock.sleep(DELIVERY_GRACE_MS, feed.stopping.signal);
-            // No read is open meanwhile, so the instance would otherwise consider this entry disconnected.
-            await reportTo(feed);
             const remaining = missing.filter(options.isMissing);
             if (remaining.length === missing.length) {
                 break;
@@ -121,10 +126,12 @@
             { entry: options.entry(), read: { ...position, waitMilliseconds: READ_WAIT_MS, versionsOnly } },
             READ_WAIT_MS + READ_DEADLINE_MARGIN_MS,
         );
+        const repliedAt = clock.monotonicMilliseconds();
         const batch = decodeBatch(reply);
         const fetched = versionsOnly ? await fetchValues(feed, await waitForDelivery(feed, batch.values)) : [];
         options.onBatch({ ...batch, values: [...batch.values, ...fetched] }, feed.name);
-        await clock.sleep(versionsOnly ? VERSIONS_PAUSE_MS : VALUES_PAUSE_MS, feed.stopping.signal);
+        const pause = versionsOnly ? repliedAt + VERSIONS_PAUSE_MS - clock.monotonicMilliseconds() : VALUES_PAUSE_MS;
+        await clock.sleep(Math.max(0, pause), feed.stopping.signal);
         return { feedId: batch.feedId, afterPosition: batch.position };
     };
 
