Add the quotas of client accounts across all entries

Accounts have a rate and a burst for all entries together, and an entry's part of a small one is below a request a second. The control leader grants tokens from one bucket per account; entries prefetch them, return unused ones, and use a local share while no leader replies.

--- a/packages/hyssopfront/src/feed/follow-feeds.ts
+++ b/packages/hyssopfront/src/feed/follow-feeds.ts
@@ -36,6 +36,14 @@
     follow(names: readonly string[]): void;
     /** Sends the current state of this entry to all connected control instances. */
     report(): Promise<void>;
+    /** Names of the connected control instances, the nearest first. */
+    connected(): readonly string[];
+    /**
+     * Calls one of the followed control instances on the connection of its feed.
+     *
+     * @throws Error if the instance is not followed, otherwise as `PeerClient.call`.
+     */
+    call(name: string, kind: string, payload: unknown, deadlineMilliseconds: number): Promise<unknown>;
     /** Stops following all feeds and closes their connections. */
     close(): Promise<void>;
 };
@@ -63,10 +71,11 @@
     const { clock, counters, log } = options;
     const followed = new Map<string, FollowedFeed>();
 
+    const distanceOf = ({ client: { remote } }: FollowedFeed) =>
+        remote === undefined ? Infinity : options.getDistance(remote);
     const findNearest = (): FollowedFeed | undefined =>
         [...followed.values()].reduce<{ feed?: FollowedFeed; distance: number }>((nearest, feed) => {
-            const { remote } = feed.client;
-            const distance = remote === undefined ? Infinity : options.getDistance(remote);
+            const distance = distanceOf(feed);
             return distance < nearest.distance ? { feed, distance } : nearest;
         }, { distance: Infinity }).feed;
 
@@ -180,6 +189,18 @@
         report: async () => {
             await Promise.all([...followed.values()].filter(({ client }) => client.isConnected).map(reportTo));
         },
+        connected: () =>
+            [...followed.values()]
+                .filter(({ client }) => client.isConnected)
+                .sort((first, second) => distanceOf(first) - distanceOf(second))
+                .map(({ name }) => name),
+        call: async (name, kind, payload, deadlineMilliseconds) => {
+            const feed = followed.get(name);
+            if (feed === undefined) {
+                throw new Error(`The control instance ${name} is not followed.`);
+            }
+            return feed.client.call(kind, payload, deadlineMilliseconds);
+        },
         close: async () => {
             await Promise.all([...followed.keys()].map(stop));
         },
--- a/packages/hyssopfront/src/gateway-control/messages.ts
+++ b/packages/hyssopfront/src/gateway-control/messages.ts
@@ -23,6 +23,8 @@
     ReadFeed = "feed.read",
     /** Reads the current values of keys of the feed. */
     ReadFeedValues = "feed.values",
+    /** Requests tokens for the quotas of client accounts from the control leader, and returns unused ones. */
+    LeaseTokens = "quota.lease",
     /** Reports a change in the state of an entry without waiting for its next poll. */
     ReportEntry = "entry.report",
 }
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -14,6 +14,8 @@
 import { CommandKind } from "../catalog/catalog-state.js";
 import type { Departure } from "../catalog/departures.js";
 import { type Item, itemKey, ItemKind } from "../catalog/items.js";
+import { createKnownEntries } from "../client-accounts/quotas/entry-reach.js";
+import { createQuotaLeaseHandler } from "../client-accounts/quotas/serve-quota-leases.js";
 import {
     createConnectedEntries,
     type EntryReport,
@@ -35,8 +37,9 @@
 } from "../registry/backend-record.js";
 import { createRegistry } from "../registry/registry.js";
 import { allocateSlowStartQuotas } from "../slow-start/slow-start-quotas.js";
-import { createCallsInProgress, rejectOnAbort } from "./calls-in-progress.js";
+import { createCallsInProgress } from "./calls-in-progress.js";
 import { createCatalogGroup } from "./catalog-group.js";
+import { catchUpWithCatalog } from "./catch-up.js";
 import { type EvacuationOrder, submitEvacuation } from "./evacuation-orders.js";
 import { createMemberConnectivity } from "./member-connectivity.js";
 import {
@@ -54,10 +57,6 @@
 const DEPARTURE_DEADLINE_MS = 800;
 /** Interval of the check for lost backend servers, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 500;
-/** Pause before an instance retries to catch up with the commands acknowledged before its start, in milliseconds. */
-const CATCH_UP_RETRY_PAUSE_MS = 200;
-/** Deadline of one attempt to catch up, in milliseconds. */
-const CATCH_UP_DEADLINE_MS = 2_000;
 /** Backend servers are only expired after this many heartbeat intervals of connectivity to all control instances. */
 const FULL_CONNECTIVITY_HEARTBEATS = 4;
 
@@ -193,8 +192,10 @@
                 log(EventLevel.Info, "entry changed", { entry: name, isPresent: isReady !== undefined, isReady });
             });
             feed.set(FeedKey.EntryCount, () => present.length);
+            knownEntries.update(present);
         },
     });
+    const knownEntries = createKnownEntries(clock);
     const catalog = createCatalogGroup({
         clock,
         counters,
@@ -231,6 +232,15 @@
             }
         },
     });
+    const leaseTokens = createQuotaLeaseHandler({
+        clock,
+        replica: catalog.replica,
+        findQuota: name => {
+            const value = catalog.find(ItemKind.ClientAccount, name)?.value;
+            return value?.kind === ItemKind.ClientAccount ? value.account.quota : undefined;
+        },
+        knownEntries,
+    });
     const homeRegions = createHomeRegionIndex(catalog.items);
     const formation = createFormation({
         clock,
@@ -311,6 +321,7 @@
                 entries.update(entryReportSchema.parse(payload));
                 return {};
             },
+            [ControlRequestKind.LeaseTokens]: async (_from, payload) => leaseTokens(payload),
             [JOIN_REQUEST_KIND]: async from => formation.handleJoin(from.name),
         }),
     });
@@ -329,25 +340,12 @@
             entries.list();
         }
     };
-    const catchUpCatalog = async () => {
-        while (!signal.aborted && !feed.isComplete) {
-            try {
-                await rejectOnAbort(signal, () => catalog.catchUp(CATCH_UP_DEADLINE_MS));
-                feed.markComplete();
-                log(EventLevel.Info, "catalog complete", { items: catalog.items().length });
-            }
-            catch (error) {
-                log(EventLevel.Warning, "catching up with the catalog failed", errorFields(error));
-                await clock.sleep(CATCH_UP_RETRY_PAUSE_MS, signal).catch(() => undefined);
-            }
-        }
-    };
     const tasks = [
         catalog.run(signal),
         formation.run(signal),
         replication.run(signal),
         expireRecords(),
-        catchUpCatalog(),
+        catchUpWithCatalog({ clock, log, catalog, feed }, signal),
     ];
 
     const { rejectAtStop, waitUntilEnded } = createCallsInProgress(clock, signal);
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -6,6 +6,8 @@
 import type { Route } from "../catalog/items.js";
 import { authenticate, CREDENTIALS_HEADER } from "../client-accounts/authenticate.js";
 import { type ClientAccount, intersectHomeRegions } from "../client-accounts/client-account.js";
+import { type AccountQuotas, isAdmitted } from "../client-accounts/quotas/account-quotas.js";
+import { type QuotaDecision, QuotaOutcome } from "../client-accounts/quotas/account-state.js";
 import { errorFields, EventLevel } from "../event-log/event-log.js";
 import { readPendingData } from "../http/read-pending-data.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
@@ -15,7 +17,7 @@
 import { createCallerResponse } from "./caller-response.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
-import { forward, type ForwardDependencies } from "./forward.js";
+import { forward, type ForwardDependencies, ForwardOutcome } from "./forward.js";
 import {
     countHeaderBytes,
     type GatewayRequest,
@@ -45,6 +47,7 @@
     readonly eventLoopLag: EventLoopLag;
     readonly acceptQueue: AcceptQueue;
     readonly catalog: CatalogView;
+    readonly accountQuotas: AccountQuotas;
     readonly bodyMemory: BodyMemory;
     readonly isCatalogComplete: () => boolean;
     /** Whether more than one request is in progress on the connection of a caller. */
@@ -66,6 +69,20 @@
     return homeRegions && { ...route, homeRegions, priority: account.priority ?? route.priority };
 }
 
+/** Outcomes of requests that were certainly not run. */
+const NOT_RUN_OUTCOMES = new Set([
+    ForwardOutcome.Rejected,
+    ForwardOutcome.Throttled,
+    ForwardOutcome.Stopping,
+    ForwardOutcome.NoBackendServer,
+]);
+
+/**
+ * Takes a token of the quota of an account. Undefined without a quota, for which not even a promise is created.
+ */
+const acquireToken = (quotas: AccountQuotas, account: ClientAccount | undefined): Promise<QuotaDecision> | undefined =>
+    account?.quota === undefined ? undefined : quotas.acquire(account);
+
 /** Serves one request. Resolves when the response has been handed to the connection or the connection is closed. */
 export async function serveRequest(
     dependencies: ServeDependencies,
@@ -166,8 +183,23 @@
         await readPendingData();
     }
 
+    const acquiring = acquireToken(dependencies.accountQuotas, account);
+    const quotaDecision = acquiring && await acquiring;
+    if (quotaDecision !== undefined && !isAdmitted(quotaDecision)) {
+        const { retryAfterMilliseconds } = quotaDecision;
+        const status = quotaDecision.outcome === QuotaOutcome.Exhausted ? 429 : 503;
+        // Only the change of the state of the account is logged, because these responses are as many as the excess requests.
+        caller.sendLocalResponse({ status, retryAfterMilliseconds });
+        return;
+    }
+
     const service = dependencies.nextService(namedRoute);
     const outcome = await forward(dependencies, request, route, service, startedAt, caller);
+    const wasNotRun = NOT_RUN_OUTCOMES.has(outcome) ||
+        (outcome === ForwardOutcome.TimedOut && response.statusCode === 503);
+    if (account !== undefined && quotaDecision !== undefined && wasNotRun) {
+        dependencies.accountQuotas.refund(account.name, quotaDecision);
+    }
     const elapsed = clock.monotonicMilliseconds() - startedAt;
     metrics.increment("gateway.requests", 1, { service, outcome });
     metrics.observe("gateway.request", elapsed, { service, outcome });
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -4,6 +4,9 @@
 import { type AddressWait, type Clock, listen, type PeerIdentity } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
+import { createAccountQuotas } from "../client-accounts/quotas/account-quotas.js";
+import { createLeaderCalls } from "../client-accounts/quotas/leader-calls.js";
+import { DEFAULT_QUOTA_TOLERANCE, type QuotaTolerance } from "../client-accounts/quotas/local-share.js";
 import type { EntryReport } from "../entry-selection/connected-entries.js";
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { createFeedFollower } from "../feed/follow-feeds.js";
@@ -74,6 +77,8 @@
     readonly retryShare: number;
     /** Retries that a service may get beyond the share, from all entries together. */
     readonly retrySlack: number;
+    /** Requests of an account that may be run beyond its quota. Default: `DEFAULT_QUOTA_TOLERANCE`. */
+    readonly quotaTolerance?: QuotaTolerance;
     /** Maximum duration of a graceful stop, in milliseconds. */
     readonly stopMilliseconds: number;
 };
@@ -149,6 +154,7 @@
         onBatch: (batch, controlInstance) => {
             const wasComplete = feedState.isComplete;
             feedState.apply(batch, controlInstance);
+            accountQuotas.recordEntryCount();
             feeds.follow(controlNames());
             if (feedState.isComplete && !wasComplete) {
                 void feeds.report();
@@ -157,6 +163,18 @@
         },
     });
 
+    const accountQuotas = createAccountQuotas({
+        clock,
+        timers,
+        counters: metrics,
+        log,
+        random: options.random,
+        entry: options.name,
+        entryCount,
+        tolerance: options.quotaTolerance ?? DEFAULT_QUOTA_TOLERANCE,
+        leaderCalls: createLeaderCalls(clock, feeds),
+    });
+
     const serviceSplits = new Map<string, { readonly version: number; readonly next: () => string }>();
     const nextService = ({ name, version, route }: NamedRoute) => {
         const current = serviceSplits.get(name);
@@ -208,6 +226,7 @@
             port: options.callerPort,
         }),
         catalog,
+        accountQuotas,
         bodyMemory: createBodyMemory(),
         isCatalogComplete: () => feedState.isComplete,
         isPipelining: connection => connections.isPipelining(connection),
