Bound pipelined requests and keep the order of responses when a connection closes

Cause: Node writes the response to a request that cannot be parsed (400, 408, 431) at once, in front of those to earlier requests on the connection. A caller took a 408 or 400 for the response to a request that had run. Requests behind a response that closes the connection (a stop, a missing host) or breaks off were forwarded, although nobody could get their responses. The requests of a connection were read without end, and requests that waited for earlier responses went on when their connection was closed.

Responses to invalid requests are sent behind the earlier ones. Requests behind a closing response are dropped, and requests end with their connection. test-entry.ts holds the start of an entry for tests, which gateway.steps.ts contained.

--- a/packages/hyssopfront/src/gateway/caller-response.ts
+++ b/packages/hyssopfront/src/gateway/caller-response.ts
@@ -1,7 +1,7 @@
 /**
  * Writes the response to a caller.
  */
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { hasDisconnected } from "../http/has-disconnected.js";
 import type { ResponseHead } from "../routing/attempt.js";
 import { selectResponseHeaders } from "../routing/headers.js";
@@ -31,20 +31,30 @@
 
 const hasNoBody = (method: string, status: number) => method === "HEAD" || status === 204 || status === 304;
 
-/**
- * Wraps Node's response to one request.
- *
- * @param requestId Returned in local responses; empty if the caller sent none.
- * @param closesConnection True while the caller should connect to another entry.
- */
+/** How the connection of a caller ends. */
+export type ConnectionEnd = {
+    /** True while the caller should connect to another entry. */
+    shouldClose(): boolean;
+    /** Called when the response closes the connection, so that no request behind this one can get a response. */
+    onClosing(): void;
+};
+
+/** Wraps Node's response to one request. The id of the request is returned in local responses. */
 export function createCallerResponse(
     response: ServerResponse,
-    method: string,
-    requestId: string,
+    message: IncomingMessage,
     headerNames: HeaderNames,
-    closesConnection: () => boolean,
+    connectionEnd: ConnectionEnd,
 ): CallerResponse {
-    const closeHeaders = () => closesConnection() ? { connection: "close" } : {};
+    const method = message.method ?? "GET";
+    const requestId = String(message.headers[headerNames.requestId] ?? "");
+    const closeHeaders = () => {
+        if (!connectionEnd.shouldClose()) {
+            return {};
+        }
+        connectionEnd.onClosing();
+        return { connection: "close" };
+    };
     const callerResponse: CallerResponse = {
         sink: {
             begin: head =>
@@ -77,9 +87,12 @@
             });
             response.end();
         },
-        abort: () => void response.destroy(),
+        abort: () => {
+            connectionEnd.onClosing();
+            response.destroy();
+        },
         get isDisconnected() {
-            return hasDisconnected(response) && !response.writableFinished;
+            return hasDisconnected(response, message.socket) && !response.writableFinished;
         },
         onDisconnect: () => undefined,
     };
--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -1,5 +1,5 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
-import { createSystemClock, listenForPeers, type PeerListener, routePeerRequests } from "@hyssopfront/coordination";
+import { createSystemClock, type PeerListener } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { Agent, type IncomingHttpHeaders, request as sendRequest } from "node:http";
@@ -7,18 +7,17 @@
 import { type Item, itemKey, ItemKind, type ItemValue, type Route } from "../catalog/items.js";
 import { SAMPLE_ROUTE } from "../catalog/sample-route.js";
 import { hashApiKey } from "../client-accounts/client-account.js";
-import { type ChangeFeed, createChangeFeed, feedReadRequestSchema } from "../feed/change-feed.js";
-import { createFeedServer } from "../feed/serve-feed.js";
-import { ControlRequestKind, FeedKey, GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
-import { createPrometheusMetrics } from "../metrics/prometheus-metrics.js";
+import type { ChangeFeed } from "../feed/change-feed.js";
+import { FeedKey } from "../gateway-control/messages.js";
 import { type BackendRecord, BackendServerState } from "../registry/backend-record.js";
 import { SAMPLE_BACKEND_RECORD } from "../registry/sample-backend-record.js";
 import { DEFAULT_LIMITS } from "./catalog-view.js";
 import { type EventLoopLag, measureEventLoopLag } from "./event-loop-lag.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "./sample-header-names.js";
 import { parsePauseMilliseconds } from "./server-notices.js";
-import { type Gateway, startGateway } from "./start-gateway.js";
+import type { Gateway } from "./start-gateway.js";
 import { canWaitForRequest, type EntryStop } from "./stop-admission.js";
+import { startTestEntry } from "./test-entry.js";
 
 const HOST = "127.0.0.1";
 const BODY = "x".repeat(2_000);
@@ -300,53 +299,11 @@
 });
 
 async function startEntry(hasCatalog: boolean, stopMilliseconds = STOP_MS): Promise<void> {
-    feed = createChangeFeed({ clock, feedId: String(Math.random()) });
-    // The listener sends its name in the handshake, so its port must be known before it listens.
-    const probe = createServer().listen(0, HOST);
-    await new Promise(resolve => probe.once("listening", resolve));
-    const { port } = probe.address() as AddressInfo;
-    await new Promise(resolve => probe.close(resolve));
-    control = await listenForPeers({
-        clock,
-        address: HOST,
-        port,
-        self: {
-            clusterId: GATEWAY_CLUSTER_ID,
-            name: `${HOST}:${port}`,
-            incarnation: "1",
-            role: "control",
-            availabilityZone: "z1",
-        },
-        handle: routePeerRequests({
-            [ControlRequestKind.ReadFeed]: async (_from, payload, signal) =>
-                createFeedServer(feed).read(feedReadRequestSchema.parse((payload as { read: unknown }).read), signal),
-            [ControlRequestKind.ReportEntry]: async () => ({}),
-        }),
-    });
-    const entryProbe = createServer().listen(0, HOST);
-    await new Promise(resolve => entryProbe.once("listening", resolve));
-    callerPort = (entryProbe.address() as AddressInfo).port;
-    await new Promise(resolve => entryProbe.close(resolve));
-    gateway = await startGateway({
-        clock,
-        metrics: createPrometheusMetrics(),
-        log: (_level, event, fields) => void events.push({ event, ...fields }),
-        random: () => 0.5,
-        hash: text => [...text].reduce((hash, letter) => Math.imul(hash ^ letter.charCodeAt(0), 16_777_619) >>> 0, 7),
-        name: "entry-1",
-        address: HOST,
-        callerPort,
-        availabilityZone: "z1",
-        cores: 1,
-        getRegion: () => "r1",
-        regions: ["r1"],
-        controlPeerPort: port,
-        seedAddresses: () => [HOST],
-        headerNames: NAMES,
-        retryShare: 0.2,
-        retrySlack: 50,
+    const entry = await startTestEntry({
         stopMilliseconds,
+        log: (_level, event, fields) => void events.push({ event, ...fields }),
     });
+    ({ feed, control, gateway, callerPort } = entry);
     if (!hasCatalog) {
         return;
     }
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -11,7 +11,7 @@
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
 import type { AcceptQueue } from "./accept-queue.js";
-import { type BodyMemory, type BodyMemoryReservation, releaseWhenSent } from "./body-memory.js";
+import type { BodyMemory, BodyMemoryReservation } from "./body-memory.js";
 import { createCallerResponse } from "./caller-response.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
@@ -49,6 +49,8 @@
     readonly isCatalogComplete: () => boolean;
     /** Whether more than one request is in progress on the connection of a caller. */
     readonly isPipelining: (connection: Socket) => boolean;
+    /** Drops the requests behind this one on its connection, as its response closes the connection. */
+    readonly dropRequestsBehind: (message: IncomingMessage) => void;
     /** Selects the service of the next request of a route. */
     readonly nextService: (route: NamedRoute) => string;
 };
@@ -66,18 +68,35 @@
     return homeRegions && { ...route, homeRegions, priority: account.priority ?? route.priority };
 }
 
-/** Serves one request. Resolves when the response has been handed to the connection or the connection is closed. */
+/**
+ * Returns the bytes of a request once its response is closed, which also happens to a response that waits for earlier
+ * ones when its connection is closed. A listener on the connection would remain for each pipelined request.
+ */
+function releaseWhenClosed(reservation: BodyMemoryReservation, response: ServerResponse): void {
+    if (response.writableFinished || response.destroyed) {
+        reservation.release();
+        return;
+    }
+    response.once("close", reservation.release);
+}
+
+/**
+ * Serves one request. Resolves when the response has been handed to the connection or the connection is closed.
+ *
+ * @param waitedMilliseconds Time that the request has waited for earlier ones on its connection, in milliseconds.
+ */
 export async function serveRequest(
     dependencies: ServeDependencies,
     message: IncomingMessage,
     response: ServerResponse,
+    waitedMilliseconds = 0,
 ): Promise<void> {
     const reservation = dependencies.bodyMemory.createReservation();
     try {
-        await serveWithMemory(dependencies, message, response, reservation);
+        await serveWithMemory(dependencies, message, response, waitedMilliseconds, reservation);
     }
     finally {
-        releaseWhenSent(reservation, message, response);
+        releaseWhenClosed(reservation, response);
     }
 }
 
@@ -85,6 +104,7 @@
     dependencies: ServeDependencies,
     message: IncomingMessage,
     response: ServerResponse,
+    waitedMilliseconds: number,
     reservation: BodyMemoryReservation,
 ): Promise<void> {
     const { catalog, clock, eventLoopLag, log, metrics, headerNames } = dependencies;
@@ -92,14 +112,17 @@
     const acceptWait = dependencies.acceptQueue.takeWait(message.socket);
     const isLagging = lagMilliseconds > NOTICEABLE_LAG_MS;
     const mayHaveDisconnected = isLagging || acceptWait.milliseconds > NOTICEABLE_LAG_MS;
-    // The time that a request has waited to be read counts towards its deadline.
-    const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0);
+    // The time that a request has waited to be read, or for others, counts towards its deadline.
+    const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0) - waitedMilliseconds;
     const id = String(message.headers[headerNames.requestId] ?? "");
     // Callers should connect to other entries once the stop has begun. A connection that is closed while its caller still
     // sends is reset, and the response may be lost. Responses to pipelined requests follow on the same connection.
     const closesConnection = () =>
         dependencies.currentStop() !== undefined && message.complete && !dependencies.isPipelining(message.socket);
-    const caller = createCallerResponse(response, message.method ?? "GET", id, headerNames, closesConnection);
+    const caller = createCallerResponse(response, message, headerNames, {
+        shouldClose: closesConnection,
+        onClosing: () => dependencies.dropRequestsBehind(message),
+    });
     const respond = (status: number, reason: string, retryAfterMilliseconds?: number) => {
         log(EventLevel.Warning, "local response sent", { request: id, status, reason, path: message.url });
         caller.sendLocalResponse({ status, retryAfterMilliseconds });
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -11,6 +11,7 @@
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import { trackCallerConnections } from "../http/caller-connections.js";
 import { discardRest } from "../http/discard-rest.js";
+import { createPipelines, type PipelineLimits } from "../http/pipelines.js";
 import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import { reportAcceptErrors } from "../http/report-accept-errors.js";
@@ -76,6 +77,8 @@
     readonly retrySlack: number;
     /** Maximum duration of a graceful stop, in milliseconds. */
     readonly stopMilliseconds: number;
+    /** Limits on pipelined requests. Default: those of `createPipelines`. */
+    readonly pipelineLimits?: Partial<PipelineLimits>;
 };
 
 /** A running entry. */
@@ -183,9 +186,15 @@
         isEvacuated: catalog.isEvacuated,
         evacuationGeneration: catalog.evacuationGeneration,
     });
-    const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
+    const server = createServer({
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        noDelay: true,
+        requestTimeout: 0,
+        requireHostHeader: false,
+    });
     readBeforeIdleClose(server);
     const connections = trackCallerConnections(server, clock);
+    const pipelines = createPipelines(server, { clock, counters: metrics, log, limits: options.pipelineLimits });
     const dependencies: ServeDependencies = {
         clock,
         counters: metrics,
@@ -211,21 +220,26 @@
         bodyMemory: createBodyMemory(),
         isCatalogComplete: () => feedState.isComplete,
         isPipelining: connection => connections.isPipelining(connection),
+        dropRequestsBehind: pipelines.dropRequestsBehind,
         currentStop: () => currentStop,
         nextService,
     };
 
-    const handleRequest = rejectInvalidHeaders(server, (message, response) => {
-        connections.startRequest(message, response);
-        response.once("finish", () => discardRest(message));
-        serveRequest(dependencies, message, response).catch((error: unknown) => {
-            log(EventLevel.Error, "request failed with an internal error", {
-                request: String(message.headers[headerNames.requestId] ?? ""),
-                ...errorFields(error),
-            });
-            response.destroy();
-        });
-    });
+    const handleRequest = rejectInvalidHeaders(
+        server,
+        (message, response) =>
+            pipelines.start(message, response, waitedMilliseconds => {
+                connections.startRequest(message, response);
+                response.once("finish", () => discardRest(message));
+                serveRequest(dependencies, message, response, waitedMilliseconds).catch((error: unknown) => {
+                    log(EventLevel.Error, "request failed with an internal error", {
+                        request: String(message.headers[headerNames.requestId] ?? ""),
+                        ...errorFields(error),
+                    });
+                    response.destroy();
+                });
+            }),
+    );
     server.on("request", handleRequest);
     server.on("checkExpectation", handleRequest);
     const applyLimits = () => {
