--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -13,7 +13,7 @@
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
 import type { AcceptQueue } from "./accept-queue.js";
-import { type BodyMemory, type BodyMemoryReservation, releaseWhenSent } from "./body-memory.js";
+import type { BodyMemory, BodyMemoryReservation } from "./body-memory.js";
 import { createCallerResponse } from "./caller-response.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
@@ -25,6 +25,7 @@
     readTarget,
     type RequestIdentity,
 } from "./gateway-request.js";
+import type { UnreadResponses } from "./unread-responses.js";
 
 /** Wait of an unread request beyond which its caller may have disconnected, in milliseconds. */
 const NOTICEABLE_LAG_MS = 50;
@@ -49,9 +50,12 @@
     readonly catalog: CatalogView;
     readonly accountQuotas: AccountQuotas;
     readonly bodyMemory: BodyMemory;
+    readonly unreadResponses: UnreadResponses;
     readonly isCatalogComplete: () => boolean;
     /** Whether more than one request is in progress on the connection of a caller. */
     readonly isPipelining: (connection: Socket) => boolean;
+    /** Drops the requests behind this one on its connection, as its response closes the connection. */
+    readonly dropRequestsBehind: (message: IncomingMessage) => void;
     /** Selects the service of the next request of a route. */
     readonly nextService: (route: NamedRoute) => string;
 };
@@ -83,18 +87,35 @@
 const acquireToken = (quotas: AccountQuotas, account: ClientAccount | undefined): Promise<QuotaDecision> | undefined =>
     account?.quota === undefined ? undefined : quotas.acquire(account);
 
-/** Serves one request. Resolves when the response has been handed to the connection or the connection is closed. */
+/**
+ * Returns the bytes of a request once its response is closed, which also happens to a response that waits for earlier
+ * ones when its connection is closed. A listener on the connection would remain for each pipelined request.
+ */
+function releaseWhenClosed(reservation: BodyMemoryReservation, response: ServerResponse): void {
+    if (response.writableFinished || response.destroyed) {
+        reservation.release();
+        return;
+    }
+    response.once("close", reservation.release);
+}
+
+/**
+ * Serves one request. Resolves when the response has been handed to the connection or the connection is closed.
+ *
+ * @param waitedMilliseconds Time that the request has waited for earlier ones on its connection, in milliseconds.
+ */
 export async function serveRequest(
     dependencies: ServeDependencies,
     message: IncomingMessage,
     response: ServerResponse,
+    waitedMilliseconds = 0,
 ): Promise<void> {
     const reservation = dependencies.bodyMemory.createReservation();
     try {
-        await serveWithMemory(dependencies, message, response, reservation);
+        await serveWithMemory(dependencies, message, response, waitedMilliseconds, reservation);
     }
     finally {
-        releaseWhenSent(reservation, message, response);
+        releaseWhenClosed(reservation, response);
     }
 }
 
@@ -102,6 +123,7 @@
     dependencies: ServeDependencies,
     message: IncomingMessage,
     response: ServerResponse,
+    waitedMilliseconds: number,
     reservation: BodyMemoryReservation,
 ): Promise<void> {
     const { catalog, clock, eventLoopLag, log, metrics, headerNames } = dependencies;
@@ -109,14 +131,17 @@
     const acceptWait = dependencies.acceptQueue.takeWait(message.socket);
     const isLagging = lagMilliseconds > NOTICEABLE_LAG_MS;
     const mayHaveDisconnected = isLagging || acceptWait.milliseconds > NOTICEABLE_LAG_MS;
-    // The time that a request has waited to be read counts towards its deadline.
-    const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0);
+    // The time that a request has waited to be read, or for others, counts towards its deadline.
+    const startedAt = clock.monotonicMilliseconds() - (isLagging ? lagMilliseconds : 0) - waitedMilliseconds;
     const id = String(message.headers[headerNames.requestId] ?? "");
     // Callers should connect to other entries once the stop has begun. A connection that is closed while its caller still
     // sends is reset, and the response may be lost. Responses to pipelined requests follow on the same connection.
     const closesConnection = () =>
         dependencies.currentStop() !== undefined && message.complete && !dependencies.isPipelining(message.socket);
-    const caller = createCallerResponse(response, message.method ?? "GET", id, headerNames, closesConnection);
+    const caller = createCallerResponse(response, message, headerNames, {
+        shouldClose: closesConnection,
+        onClosing: () => dependencies.dropRequestsBehind(message),
+    }, dependencies.unreadResponses);
     const respond = (status: number, reason: string, retryAfterMilliseconds?: number) => {
         log(EventLevel.Warning, "local response sent", { request: id, status, reason, path: message.url });
         caller.sendLocalResponse({ status, retryAfterMilliseconds });
@@ -194,32 +219,60 @@
     }
 
     const service = dependencies.nextService(namedRoute);
-    const outcome = await forward(dependencies, request, route, service, startedAt, caller);
-    const wasNotRun = NOT_RUN_OUTCOMES.has(outcome) ||
-        (outcome === ForwardOutcome.TimedOut && response.statusCode === 503);
+    const handedOver = await forward(dependencies, request, route, service, startedAt, caller);
+    const wasNotRun = NOT_RUN_OUTCOMES.has(handedOver) ||
+        (handedOver === ForwardOutcome.TimedOut && response.statusCode === 503);
     if (account !== undefined && quotaDecision !== undefined && wasNotRun) {
         dependencies.accountQuotas.refund(account.name, quotaDecision);
     }
     const elapsed = clock.monotonicMilliseconds() - startedAt;
-    metrics.increment("gateway.requests", 1, { service, outcome });
-    metrics.observe("gateway.request", elapsed, { service, outcome });
-    if (account !== undefined) {
-        metrics.increment("gateway.account_requests", 1, { account: account.name, outcome });
-    }
-    const hasFailed = response.statusCode >= 400 || !response.headersSent;
-    if (hasFailed || elapsed > route.latencyObjectiveMilliseconds) {
-        log(hasFailed ? EventLevel.Warning : EventLevel.Info, "request ended", {
-            request: id,
-            route: namedRoute.name,
-            version: namedRoute.version,
-            service,
-            account: account?.name,
-            outcome,
-            status: response.headersSent ? response.statusCode : undefined,
-            milliseconds: Math.round(elapsed),
-            objective: route.latencyObjectiveMilliseconds,
-            delay: Math.round(lagMilliseconds),
-            acceptWait: Math.round(acceptWait.milliseconds),
-        });
+    const record = (outcome: ForwardOutcome) => {
+        metrics.increment("gateway.requests", 1, { service, outcome });
+        metrics.observe("gateway.request", elapsed, { service, outcome });
+        if (account !== undefined) {
+            metrics.increment("gateway.account_requests", 1, { account: account.name, outcome });
+        }
+        const hasFailed = response.statusCode >= 400 || !response.headersSent || outcome !== handedOver;
+        if (hasFailed || elapsed > route.latencyObjectiveMilliseconds) {
+            log(hasFailed ? EventLevel.Warning : EventLevel.Info, "request ended", {
+                request: id,
+                route: namedRoute.name,
+                version: namedRoute.version,
+                service,
+                account: account?.name,
+                outcome,
+                status: response.headersSent ? response.statusCode : undefined,
+                milliseconds: Math.round(elapsed),
+                objective: route.latencyObjectiveMilliseconds,
+                delay: Math.round(lagMilliseconds),
+                acceptWait: Math.round(acceptWait.milliseconds),
+            });
+        }
+    };
+    recordOnceSent(dependencies, message, response, handedOver, record);
+}
+
+/** Records the outcome once it is known whether the caller's connection has taken the whole response. */
+function recordOnceSent(
+    { unreadResponses }: ServeDependencies,
+    { socket }: IncomingMessage,
+    response: ServerResponse,
+    handedOver: ForwardOutcome,
+    record: (outcome: ForwardOutcome) => void,
+): void {
+    const findOutcome = (isSent: boolean) => {
+        if (unreadResponses.wasCutOff(socket) && !isSent) {
+            return ForwardOutcome.CallerStalled;
+        }
+        return handedOver === ForwardOutcome.Completed && !isSent ? ForwardOutcome.CallerDisconnected : handedOver;
+    };
+    if (response.writableFinished || response.closed || handedOver === ForwardOutcome.CallerDisconnected) {
+        record(findOutcome(response.writableFinished));
+        return;
     }
+    let isSent = false;
+    response.once("finish", () => {
+        isSent = true;
+    });
+    response.once("close", () => record(findOutcome(isSent)));
 }
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -14,6 +14,7 @@
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import { trackCallerConnections } from "../http/caller-connections.js";
 import { discardRest } from "../http/discard-rest.js";
+import { createPipelines, type PipelineLimits } from "../http/pipelines.js";
 import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import { reportAcceptErrors } from "../http/report-accept-errors.js";
@@ -32,6 +33,7 @@
 import { createRetryBudgets } from "./retries/retry-budgets.js";
 import { type ServeDependencies, serveRequest } from "./serve-request.js";
 import type { EntryStop } from "./stop-admission.js";
+import { createUnreadResponses, type UnreadResponseLimits } from "./unread-responses.js";
 
 /** Role of an entry in the handshake with its peers. */
 const ENTRY_ROLE = "gateway-entry";
@@ -81,6 +83,10 @@
     readonly quotaTolerance?: QuotaTolerance;
     /** Maximum duration of a graceful stop, in milliseconds. */
     readonly stopMilliseconds: number;
+    /** Limits on pipelined requests. Default: those of `createPipelines`. */
+    readonly pipelineLimits?: Partial<PipelineLimits>;
+    /** Limits on responses that callers have not read. Default: those of `createUnreadResponses`. */
+    readonly unreadResponseLimits?: Partial<UnreadResponseLimits>;
 };
 
 /** A running entry. */
@@ -89,6 +95,8 @@
     isReady(): boolean;
     /** Number of callers' requests whose responses have not been sent completely. */
     openRequests(): number;
+    /** Bytes of responses that callers have not read. */
+    unreadResponseBytes(): number;
     /**
      * Drains the entry and closes it: sends callers to other entries and waits for in-flight requests. Resolves within
      * `stopMilliseconds`, even if requests are still in flight.
@@ -201,9 +209,22 @@
         isEvacuated: catalog.isEvacuated,
         evacuationGeneration: catalog.evacuationGeneration,
     });
-    const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
+    const server = createServer({
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        noDelay: true,
+        requestTimeout: 0,
+        requireHostHeader: false,
+    });
     readBeforeIdleClose(server);
     const connections = trackCallerConnections(server, clock);
+    const pipelines = createPipelines(server, { clock, counters: metrics, log, limits: options.pipelineLimits });
+    const unreadResponses = createUnreadResponses({
+        clock,
+        counters: metrics,
+        log,
+        timers,
+        limits: options.unreadResponseLimits,
+    });
     const dependencies: ServeDependencies = {
         clock,
         counters: metrics,
@@ -228,23 +249,29 @@
         catalog,
         accountQuotas,
         bodyMemory: createBodyMemory(),
+        unreadResponses,
         isCatalogComplete: () => feedState.isComplete,
         isPipelining: connection => connections.isPipelining(connection),
+        dropRequestsBehind: pipelines.dropRequestsBehind,
         currentStop: () => currentStop,
         nextService,
     };
 
-    const handleRequest = rejectInvalidHeaders(server, (message, response) => {
-        connections.startRequest(message, response);
-        response.once("finish", () => discardRest(message));
-        serveRequest(dependencies, message, response).catch((error: unknown) => {
-            log(EventLevel.Error, "request failed with an internal error", {
-                request: String(message.headers[headerNames.requestId] ?? ""),
-                ...errorFields(error),
-            });
-            response.destroy();
-        });
-    });
+    const handleRequest = rejectInvalidHeaders(
+        server,
+        (message, response) =>
+            pipelines.start(message, response, waitedMilliseconds => {
+                connections.startRequest(message, response);
+                response.once("finish", () => discardRest(message));
+                serveRequest(dependencies, message, response, waitedMilliseconds).catch((error: unknown) => {
+                    log(EventLevel.Error, "request failed with an internal error", {
+                        request: String(message.headers[headerNames.requestId] ?? ""),
+                        ...errorFields(error),
+                    });
+                    response.destroy();
+                });
+            }),
+    );
     server.on("request", handleRequest);
     server.on("checkExpectation", handleRequest);
     const applyLimits = () => {
@@ -265,6 +292,7 @@
     return {
         isReady,
         openRequests: connections.openRequests,
+        unreadResponseBytes: unreadResponses.bytes,
         stop: async (elapsedMilliseconds = 0) => {
             const startedAt = clock.monotonicMilliseconds() - elapsedMilliseconds;
             const servesUntil = startedAt + options.stopMilliseconds - STOP_MARGIN_MS;
