Test priority admission in a simulation of scarce capacity

Each scenario guards against one failure: urgent requests that are served less often than others, starved accounts and kinds of requests, lost objectives, rejections while the capacity suffices, a full queue, times to return that callers don't honor, and a selection that changes for deployments without priority admission.

--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
@@ -61,3 +61,17 @@
 
   Scenario: A route with home regions is served only there
     Then each object from north whose home region is south is in south
+
+  # Guards against a selection that changes for deployments without priority admission. The choices are those of the load
+  # balancer before there was a headroom.
+  Scenario: Without a headroom, backend servers are selected as before
+    When the backend servers report 14, 2, 13, 6, 1, 20, 13 and 5 requests
+    Then the first 16 objects go to these backend servers
+      | north-b-1 | north-b-1 | north-a-2 | north-a-2 | north-a-2 | north-a-2 | north-b-1 | north-a-2 |
+      | north-a-2 | north-a-2 | north-b-1 | north-b-1 | north-b-2 | north-a-2 | north-a-2 | north-a-2 |
+
+  # Guards against less urgent requests that queue before urgent ones, or evict cached objects elsewhere.
+  Scenario: With a headroom, a full backend server is not selected, and no other one in its place
+    When all other backend servers are idle, and north-a-1 has 6 requests
+    And requests leave a headroom, so that at most 1.0 requests a slot run
+    Then there is no capacity for objects of north-a-1, and the others stay
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
@@ -1,10 +1,10 @@
-import { After, Given, Then, When } from "@cucumber/cucumber";
+import { After, type DataTable, Given, Then, When } from "@cucumber/cucumber";
 import { createManualClock } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { BackendServerState } from "../../registry/backend-record.js";
 import { SAMPLE_BACKEND_RECORD } from "../../registry/sample-backend-record.js";
 import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
-import { createLoadBalancer, type LoadBalancer, SelectionFailure } from "./load-balancer.js";
+import { createLoadBalancer, type Headroom, type LoadBalancer, SelectionFailure } from "./load-balancer.js";
 import { hashText } from "./simulated-service.js";
 
 const OBJECTS = Array.from({ length: 100 }, (_, index) => `object-${index}`);
@@ -15,6 +15,7 @@
 let loadBalancer: LoadBalancer;
 let evacuated: Set<string>;
 let choices: readonly { readonly first: string; readonly second: string }[];
+let headroom: Headroom | undefined;
 let serversBefore: Map<string, string>;
 
 const getRegion = (zone: string) => zone.split("-")[0] as string;
@@ -26,7 +27,7 @@
     slots: SLOTS,
 });
 const selectServer = (affinityKey: string, homeRegions: readonly string[] = []) =>
-    loadBalancer.selectServer({ service: "stoc", affinityKey, homeRegions, excluded: new Set() });
+    loadBalancer.selectServer({ service: "stoc", affinityKey, homeRegions, excluded: new Set(), headroom });
 const expectServer = (key: string, homeRegions: readonly string[] = []): BackendServer => {
     const server = selectServer(key, homeRegions);
     assert.ok(typeof server !== "string", `Got ${String(server)} instead of a backend server for ${key}.`);
@@ -49,6 +50,7 @@
 
 Given("regions north and south with 4 backend servers of 6 slots each, in two zones a region", () => {
     evacuated = new Set();
+    headroom = undefined;
     servers = createBackendServers({
         clock,
         random: () => 0.5,
@@ -180,3 +182,13 @@
 Then("each object from north whose home region is south is in south", () => {
     assert.ok(OBJECTS.every(key => expectServer(key, ["south"]).region === "south"));
 });
+When(/^the backend servers report ([\d, and]+) requests$/, (requests: string) => {
+    const loads = requests.match(/\d+/g)?.map(Number) ?? [];
+    servers.listAll().forEach(({ record: { id } }, index) => reportLoad(loads[index] ?? 0, other => other === id));
+});
+When("requests leave a headroom, so that at most {float} requests a slot run", (maximumLoadRatio: number) => {
+    headroom = { maximumLoadRatio };
+});
+Then("the first 16 objects go to these backend servers", (table: DataTable) => {
+    assert.deepEqual(OBJECTS.slice(0, 16).map(key => expectServer(key).record.id), table.raw().flat());
+});
--- a/packages/hyssopfront/src/gateway/priority-admission/pressure-load.ts
+++ b/packages/hyssopfront/src/gateway/priority-admission/pressure-load.ts
@@ -47,6 +47,8 @@
     readonly surge?: readonly [number, number];
     /** Time from which a quarter of the backend servers is gone. */
     readonly lostFrom?: number;
+    /** Priority of the account that sends many times its usual amount; default: that of its requests. */
+    readonly surgingPriority?: number;
 };
 
 const isDuring = (span: readonly [number, number] | undefined, now: number) =>
@@ -105,11 +107,10 @@
         createCall: (region, random, now) => {
             const kind = random() * TOTAL_RATE < KINDS[0].requestsPerSecond ? KINDS[0] : KINDS[1];
             const object = Math.floor(random() * OBJECTS_PER_SERVER * SERVERS / 3 / KINDS.length);
-            return {
-                ...kind,
-                key: `${region}-${kind.priority}-${object}`,
-                account: pickAccount(random, isDuring(trouble.surge, now)),
-            };
+            const account = pickAccount(random, isDuring(trouble.surge, now));
+            const accountPriority = account === SURGING_ACCOUNT ? trouble.surgingPriority : undefined;
+            const priority = accountPriority ?? kind.priority;
+            return { ...kind, priority, key: `${region}-${kind.priority}-${object}`, account };
         },
         onEnd,
     };
