--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -219,7 +219,7 @@
     }
 
     const service = dependencies.nextService(namedRoute);
-    const handedOver = await forward(dependencies, request, route, service, startedAt, caller);
+    const handedOver = await forward(dependencies, request, route, service, startedAt, caller, account?.name);
     const wasNotRun = NOT_RUN_OUTCOMES.has(handedOver) ||
         (handedOver === ForwardOutcome.TimedOut && response.statusCode === 503);
     if (account !== undefined && quotaDecision !== undefined && wasNotRun) {
