--- a/packages/hyssopfront/src/client-accounts/quotas/account-state.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/account-state.ts
@@ -19,6 +19,11 @@
 const RETURN_BEFORE_EXPIRY_MS = 150;
 /** Longest time after which a rejected caller should retry, in milliseconds; by then the demand has changed. */
 const MAXIMUM_RETRY_AFTER_MS = 2_000;
+/**
+ * Time after the arrival of a token at which a caller should return, in milliseconds. A caller that returned a
+ * millisecond before it was rejected again, for up to 2 s.
+ */
+const RETRY_MARGIN_MS = 20;
 
 /** Decision about a request; a label of metrics. */
 export enum QuotaOutcome {
@@ -144,7 +149,7 @@
     );
     const retryAt = Math.min(
         now + MAXIMUM_RETRY_AFTER_MS,
-        Math.max(state.exhaustedUntil, state.lastRetryAt + interval),
+        Math.max(state.exhaustedUntil + RETRY_MARGIN_MS, state.lastRetryAt + interval),
     );
     state.lastRetryAt = retryAt;
     return { outcome: QuotaOutcome.Exhausted, retryAfterMilliseconds: Math.max(1, retryAt - now) };
--- a/packages/hyssopfront/src/client-accounts/quotas/local-share.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/local-share.ts
@@ -18,10 +18,11 @@
 export const DEFAULT_QUOTA_TOLERANCE: QuotaTolerance = { windowMilliseconds: 5_000, overage: 0.1, slack: 20 };
 
 /**
- * Part of the tolerance that the local shares of all entries use together. The rest covers the random number of requests
- * that are admitted by fractions of a token, of which the standard deviation is about the square root of their sum.
+ * Part of the tolerance that the local shares of all entries use together. The rest covers the slack of the buckets of the
+ * leader, and the random number of requests that are admitted by fractions of a token, of which the standard deviation is
+ * about the square root of their sum.
  */
-const TOLERANCE_PART = 0.6;
+const TOLERANCE_PART = 0.5;
 /** Time over which an unused share accumulates while no leader replies, in milliseconds. */
 const ACCUMULATION_MS = 100;
 /** Time in which the initial level is restored after a leader has replied again, in milliseconds. */
--- a/packages/hyssopfront/src/client-accounts/quotas/quotas.feature
+++ b/packages/hyssopfront/src/client-accounts/quotas/quotas.feature
@@ -71,6 +71,15 @@
     And shop has at least 95 requests admitted
     And the entries admit at least 40 percent of them each
 
+  # Guards against a time to retry at which a caller is rejected again.
+  Scenario: Callers that return at their times to retry are admitted
+    Given 1 entries, of which entry 0 is 40 ms from the leader
+    And the account shop with 5 requests a second and a burst of 5
+    When at 5 s, each entry gets 12 requests of shop
+    And the deployment runs for 10 s
+    Then shop has at least 12 requests admitted
+    And no request of shop was rejected twice
+
   # Guards against calls and timers in deployments without quotas.
   Scenario: An account without a quota costs nothing
     Given 2 entries, of which entry 0 is 40 ms from the leader
--- a/packages/hyssopfront/src/client-accounts/quotas/quotas.steps.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/quotas.steps.ts
@@ -225,6 +225,12 @@
         assert.ok(length >= all.length * percent / 100, `Entry ${number} has admitted ${length} of ${all.length}.`);
     });
 });
+Then("no request of shop was rejected twice", () => {
+    const rejected = simulation.requests.filter(({ attempt, outcome }) =>
+        attempt > 0 && outcome !== QuotaOutcome.Admitted
+    );
+    assert.deepEqual(rejected, []);
+});
 Then("no call and no timer was started", () => assert.deepEqual([simulation.calls(), simulation.timers()], [0, 0]));
 Then("the leader gets no call after {int} s", async (seconds: number) => {
     const calls = simulation.calls();
--- a/packages/hyssopfront/src/client-accounts/quotas/token-allocator.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/token-allocator.ts
@@ -147,7 +147,7 @@
             return { name, granted, retryAfterMilliseconds: 0 };
         }
 
-        const untilToken = Math.max(0, 1 - (level - granted)) / requestsPerSecond * 1_000;
+        const untilToken = account.bucket.untilToken(quota, share);
         const untilFairPart = reservedForOthers > 0
             ? Math.max(0, 1 - demand.credit) / account.fairLevel * DEMAND_WINDOW_MS
             : 0;
--- a/packages/hyssopfront/src/client-accounts/quotas/token-bucket.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/token-bucket.ts
@@ -10,6 +10,12 @@
 /** Time for which granted tokens are recorded, in milliseconds: their lifetime, rounded up to whole slots. */
 const RECORD_MS = TOKEN_LIFETIME_MS + SLOT_MS;
 
+/**
+ * Tokens that the entries may hold beyond the burst and the rate, so that the few unused ones of a small account do not
+ * keep its bucket from being filled. A quarter of the tolerance of deployments.
+ */
+const HELD_TOKENS_SLACK = 5;
+
 /** A bucket that is filled over time and by returned tokens. */
 export type TokenBucket = {
     /**
@@ -19,6 +25,8 @@
      * @returns The number of tokens in the bucket, which may be fractional.
      */
     fill(quota: AccountQuota, share: number): number;
+    /** Returns the time until the bucket has a token, in milliseconds; `fill` must have been called before. */
+    untilToken(quota: AccountQuota, share: number): number;
     /** Removes granted tokens. */
     take(count: number): void;
     /** Adds tokens that an entry has returned, at most as many as may still be valid. */
@@ -40,8 +48,8 @@
 /**
  * Creates an empty bucket.
  *
- * The tokens in the bucket and the valid ones at entries together never exceed the burst and the rate during the lifetime
- * of a token. Without this limit, tokens that are requested and returned over and over would accumulate at the entries
+ * The tokens in the bucket and the valid ones at entries together never exceed the burst, the rate during the lifetime of
+ * a token and a small slack. Without this limit, tokens that are requested and returned over and over would accumulate at the entries
  * while the bucket is filled again, and could all be used at once.
  *
  * @param startedAt Monotonic time from which the bucket is filled, in milliseconds.
@@ -57,6 +65,8 @@
             grants = grants.filter(({ at }) => at >= oldest);
         }
     };
+    const limitLevel = (quota: AccountQuota, outstanding: number) =>
+        bucketDepth(quota) + quota.requestsPerSecond * RECORD_MS / 1_000 + HELD_TOKENS_SLACK - outstanding;
     const countOutstanding = () => grants.reduce((sum, { count }) => sum + count, 0);
 
     return {
@@ -64,12 +74,27 @@
             const now = clock.monotonicMilliseconds();
             removeExpired();
             const { requestsPerSecond } = quota;
-            const depth = bucketDepth(quota);
-            const limit = depth + requestsPerSecond * RECORD_MS / 1_000 - countOutstanding();
-            level = Math.min(level + requestsPerSecond * share * (now - filledAt) / 1_000, depth, limit);
+            level = Math.min(
+                level + requestsPerSecond * share * (now - filledAt) / 1_000,
+                bucketDepth(quota),
+                limitLevel(quota, countOutstanding()),
+            );
             filledAt = now;
             return level;
         },
+        untilToken: (quota, share) => {
+            if (level >= 1) {
+                return 0;
+            }
+            const filling = (1 - level) / (quota.requestsPerSecond * share) * 1_000;
+            let outstanding = countOutstanding();
+            const blocking = grants.find(({ count }) => {
+                const isBlocked = limitLevel(quota, outstanding) < 1;
+                outstanding -= count;
+                return isBlocked && limitLevel(quota, outstanding) >= 1;
+            });
+            return filling + (blocking === undefined ? 0 : blocking.at + RECORD_MS - clock.monotonicMilliseconds());
+        },
         take: count => {
             if (count === 0) {
                 return;
