Combine calls for tokens within 20 ms, and state their processor time

A call takes the leader 366 µs at a load average of 37, of which the allocator takes 20 to 44, so fewer calls count more than a faster allocator. At most 50 calls a second leave an entry now; before, requests that each needed a token could make one call per round trip.

--- a/packages/hyssopfront/src/client-accounts/quotas/account-quotas.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/account-quotas.ts
@@ -23,6 +23,11 @@
 
 /** Time between two calls that no request waits for, in milliseconds; prefetched tokens last for two of them. */
 const CALL_INTERVAL_MS = 100;
+/**
+ * Shortest time between two calls, in milliseconds. Nine tenths of the processor time of a call are for its message, so
+ * the calls of requests that arrive shortly after each other are combined.
+ */
+const MINIMUM_CALL_INTERVAL_MS = 20;
 /** Age up to which the loss of the leader is assumed to last, in milliseconds. While there are requests, calls go on. */
 const LOSS_AGE_MS = 1_000;
 /** Time after which callers that were rejected without a leader should retry, in milliseconds; an election takes longer. */
@@ -193,30 +198,35 @@
             }
         }
         if ([...active].some(({ waiting }) => waiting.length > 0)) {
-            callNow();
+            callSoon();
         }
         else {
             scheduleCall();
         }
     };
-    const callNow = () => {
+    const startTimer = (dueAt: number) => {
+        cancelTimer?.();
+        cancelTimer = options.timers.start(dueAt, () => {
+            cancelTimer = undefined;
+            void call();
+        });
+    };
+    const callSoon = () => {
         if (isCalling) {
             return;
         }
+        if (clock.monotonicMilliseconds() < sentAt + MINIMUM_CALL_INTERVAL_MS) {
+            startTimer(sentAt + MINIMUM_CALL_INTERVAL_MS);
+            return;
+        }
         cancelTimer?.();
         cancelTimer = undefined;
         void call();
     };
     const scheduleCall = () => {
-        if (isCalling || cancelTimer !== undefined || active.size === 0) {
-            return;
+        if (!isCalling && cancelTimer === undefined && active.size > 0) {
+            startTimer(Math.max(clock.monotonicMilliseconds() + 1, sentAt + CALL_INTERVAL_MS));
         }
-        const now = clock.monotonicMilliseconds();
-        const dueAt = Math.max(now + 1, sentAt + CALL_INTERVAL_MS);
-        cancelTimer = options.timers.start(dueAt, () => {
-            cancelTimer = undefined;
-            callNow();
-        });
     };
 
     const decide = (state: AccountState): QuotaDecision | Promise<QuotaDecision> => {
@@ -233,7 +243,7 @@
         }
         return new Promise(resolve => {
             state.waiting.push(resolve);
-            callNow();
+            callSoon();
         });
     };
 
