Try waiting requests of an account that need different backend servers

Cause: a waiting request whose backend server was full kept all later ones of its account waiting, and those of other accounts until the next response, although their own backend servers had capacity. A deployment without accounts had one such queue.

Change: a fair queue tries up to maximumAttempts requests of a tenant (default 1, as before); the admission queue tries all, also when a request arrives while others wait. The figures of the pressure scenarios are written to standard output instead of the console.

--- a/packages/hyssopfront/src/admission/fair-queue.feature
+++ b/packages/hyssopfront/src/admission/fair-queue.feature
@@ -31,6 +31,13 @@
     And there is capacity for only tenant "b"
     Then 0 requests of tenant "a" and 5 of tenant "b" were dispatched
 
+  # Guards against requests that wait although there is capacity for them, behind one of the same tenant that has none.
+  Scenario: A request without capacity does not delay others of its tenant if several are tried
+    Given empty queues that try 3 requests of a tenant
+    When 2 idempotent requests of cost 4 of tenant "a" wait before 2 of cost 1 of tenant "a"
+    And there is capacity for only requests of cost 1
+    Then 2 requests of tenant "a" and 0 of tenant "b" were dispatched
+
   Scenario: A request leaves the queue at its deadline
     Given empty queues
     When a request with a deadline in 100 milliseconds waits and 100 milliseconds pass
--- a/packages/hyssopfront/src/admission/fair-queue.steps.ts
+++ b/packages/hyssopfront/src/admission/fair-queue.steps.ts
@@ -16,14 +16,15 @@
     }
 };
 
-const createQueue = (runOnceShare?: number) => {
+const createQueue = (runOnceShare?: number, maximumAttempts?: number) => {
     clock = createManualClock();
-    queue = createFairQueue({ clock, runOnceShare });
+    queue = createFairQueue({ clock, runOnceShare, maximumAttempts });
     dispatched = new Map();
 };
 
 Given("empty queues", () => createQueue());
-Given("empty queues with a run-once share of {float}", createQueue);
+Given("empty queues with a run-once share of {float}", (runOnceShare: number) => createQueue(runOnceShare));
+Given("empty queues that try {int} requests of a tenant", (count: number) => createQueue(undefined, count));
 
 When(
     "{int} idempotent requests of tenant {string} wait before {int} of tenant {string}",
@@ -62,6 +63,11 @@
     await clock.advance(0);
 });
 
+When("there is capacity for only requests of cost {int}", async (cost: number) => {
+    queue.dispatch(request => request.cost === cost);
+    await clock.advance(0);
+});
+
 When("there is capacity for only tenant {string}", async (tenant: string) => {
     queue.dispatch(request => request.tenant === tenant);
     await clock.advance(0);
--- a/packages/hyssopfront/src/admission/fair-queue.ts
+++ b/packages/hyssopfront/src/admission/fair-queue.ts
@@ -45,6 +45,11 @@
     readonly runOnceShare?: number;
     /** Cost that a tenant's queue can dispatch in one round. */
     readonly quantum?: number;
+    /**
+     * Requests of a tenant's queue that a dispatch tries before it skips the rest. More than the default of 1 is for
+     * requests that need different capacity, such as that of different backend servers.
+     */
+    readonly maximumAttempts?: number;
 };
 
 export type FairQueue = {
@@ -59,7 +64,8 @@
      * Dispatches waiting requests in fair order while capacity is available. Call it whenever capacity may have become
      * available.
      *
-     * @param tryAcquire Acquires the capacity for a request. When it returns false, the rest of that queue is skipped.
+     * @param tryAcquire Acquires the capacity for a request. When it returns false `maximumAttempts` times, the rest
+     * of that queue is skipped.
      * @returns Number of dispatched requests.
      */
     dispatch(tryAcquire: (request: QueuedRequest) => boolean): number;
@@ -83,6 +89,7 @@
 const DEFAULT_MAXIMUM_QUEUE_LENGTH = 256;
 const DEFAULT_MAXIMUM_TOTAL_LENGTH = 4_096;
 const DEFAULT_RUN_ONCE_SHARE = 0.3;
+const DEFAULT_MAXIMUM_ATTEMPTS = 1;
 /** Limits how long a class is preferred after a time without capacity for it. */
 const MAXIMUM_LAG_QUANTA = 64;
 
@@ -99,7 +106,7 @@
         maximumQueueLength = DEFAULT_MAXIMUM_QUEUE_LENGTH,
         maximumTotalLength = DEFAULT_MAXIMUM_TOTAL_LENGTH,
     } = options;
-    const { runOnceShare = DEFAULT_RUN_ONCE_SHARE, quantum = 1 } = options;
+    const { runOnceShare = DEFAULT_RUN_ONCE_SHARE, quantum = 1, maximumAttempts = DEFAULT_MAXIMUM_ATTEMPTS } = options;
     const createClass = (weight: number): ClassQueues => ({ tenants: new Map(), weight, normalizedCost: 0, length: 0 });
     const classes = {
         [RequestClass.RunOnce]: createClass(runOnceShare),
@@ -186,13 +193,17 @@
             const [tenant, queue] = queues.tenants.entries().next().value as [string, TenantQueue];
             const first = queue.waiting.values().next().value as WaitingRequest;
             if (!blocked.has(queue) && queue.deficit >= first.request.cost) {
-                if (tryDispatch(first, tryAcquire)) {
-                    queue.deficit -= first.request.cost;
-                    queues.normalizedCost += first.request.cost / queues.weight;
+                const candidates = maximumAttempts === 1 ? [first] : [...queue.waiting].slice(0, maximumAttempts);
+                const dispatched = candidates.find(candidate =>
+                    queue.deficit >= candidate.request.cost && tryDispatch(candidate, tryAcquire)
+                );
+                if (dispatched !== undefined) {
+                    queue.deficit -= dispatched.request.cost;
+                    queues.normalizedCost += dispatched.request.cost / queues.weight;
                     allClasses.forEach(other =>
                         other.normalizedCost = Math.max(other.normalizedCost, queues.normalizedCost - maximumLag)
                     );
-                    return first;
+                    return dispatched;
                 }
                 blocked.add(queue);
             }
--- a/packages/hyssopfront/src/gateway/priority-admission/admission-queue.ts
+++ b/packages/hyssopfront/src/gateway/priority-admission/admission-queue.ts
@@ -48,7 +48,13 @@
 export function createAdmissionQueue<T>(clock: Clock, levels: number): AdmissionQueue<T> {
     const queues = Array.from(
         { length: levels },
-        () => createFairQueue({ clock, maximumQueueLength: MAXIMUM_LENGTH, maximumTotalLength: FAIR_QUEUE_LENGTH }),
+        () =>
+            createFairQueue({
+                clock,
+                maximumAttempts: MAXIMUM_LENGTH,
+                maximumQueueLength: MAXIMUM_LENGTH,
+                maximumTotalLength: FAIR_QUEUE_LENGTH,
+            }),
     );
     const cancellations = queues.map(() => new Set<AbortController>());
     const attempts = new Map<QueuedRequest, () => boolean>();
--- a/packages/hyssopfront/src/gateway/priority-admission/pressure.steps.ts
+++ b/packages/hyssopfront/src/gateway/priority-admission/pressure.steps.ts
@@ -85,11 +85,13 @@
     });
     const accounts = servedBy(ends, getAccount);
     const surging = percent(accounts.get(SURGING_ACCOUNT) ?? 0);
-    console.log([
-        `${hasAdmission ? "with" : "without"} priority admission, ${event}`,
-        ...kinds,
-        `accounts: least served ${percent(Math.min(...accounts.values()))}, largest ${surging}`,
-    ].join("; "));
+    process.stdout.write(`${
+        [
+            `${hasAdmission ? "with" : "without"} priority admission, ${event}`,
+            ...kinds,
+            `accounts: least served ${percent(Math.min(...accounts.values()))}, largest ${surging}`,
+        ].join("; ")
+    }\n`);
 };
 
 When(/^requests arrive (.+)$/, async (event: string) => {
--- a/packages/hyssopfront/src/gateway/priority-admission/priority-admission.ts
+++ b/packages/hyssopfront/src/gateway/priority-admission/priority-admission.ts
@@ -209,7 +209,8 @@
                 return occupy(state, level, server);
             };
 
-            const admission = state.queue.isWaiting(level) ? undefined : tryAdmit();
+            const isQueueing = state.queue.isWaiting(level);
+            const admission = isQueueing ? undefined : tryAdmit();
             if (admission !== undefined) {
                 return admission;
             }
@@ -221,12 +222,17 @@
                 return failure;
             }
             counters.increment("gateway.admission_waited", 1, { service, priority: String(level) });
-            const result = await state.queue.wait({
+            const wait = state.queue.wait({
                 level,
                 account,
                 waitsUntil: now + spare * WAIT_SHARE,
                 tryAcquire: tryAdmit,
             });
+            // The requests that wait already may need another backend server than this one.
+            if (isQueueing) {
+                state.queue.dispatch();
+            }
+            const result = await wait;
             if (typeof result !== "string") {
                 return result;
             }
