Let a busy machine reject the last request of the slow reader scenarios before it is forwarded

Cause: in a run beside others at a load of about 35, the request after the cut off responses got no 200 in one of 14 scenarios. The entry rejects requests while its event loop lags, which says nothing about slow readers.

Change: the request is sent again, up to five times, only if it got 503 and did not reach the backend server.

--- a/packages/hyssopfront/src/gateway/slow-readers/slow-readers.steps.ts
+++ b/packages/hyssopfront/src/gateway/slow-readers/slow-readers.steps.ts
@@ -17,6 +17,7 @@
 
 setDefaultTimeout(40_000);
 
+const MAXIMUM_ATTEMPTS = 5;
 const SHORT_RESPONSE_BYTES = 1_000;
 
 type Caller = {
@@ -211,11 +212,21 @@
     assert.ok(held <= bytes, `It holds ${held} bytes.`);
 });
 Then("another caller gets {int} with {int} bytes", async (status: number, bytes: number) => {
-    const caller = openCaller();
-    collect(caller);
-    caller.socket.write(formatNext("short"));
-    await waitUntil(() => caller.received.length > bytes, 5_000);
-    assert.ok(caller.received.startsWith(`HTTP/1.1 ${status} `), caller.received.slice(0, 80));
+    for (let attempt = 1;; attempt += 1) {
+        const caller = openCaller();
+        collect(caller);
+        caller.socket.write(formatNext("short"));
+        await waitUntil(() => caller.received.includes("\r\n\r\n"), 5_000);
+        // A busy machine may reject a request before it is forwarded.
+        const isRejected = caller.received.startsWith("HTTP/1.1 503 ")
+            && backendServer?.requestIds.includes(`q${requestNumber}`) === false;
+        if (!isRejected || attempt === MAXIMUM_ATTEMPTS) {
+            assert.ok(caller.received.startsWith(`HTTP/1.1 ${status} `), caller.received.slice(0, 80));
+            await waitUntil(() => caller.received.length > bytes, 5_000);
+            return;
+        }
+        await sleep(500);
+    }
 });
 Then("within {int} ms it is cut off, as it is stalled", async (milliseconds: number) => {
     const endsAt = performance.now() + milliseconds;
