Bound the bodies of requests and calls by the memory of the instance

Cause: buffered bodies kept every chunk; streamed bodies and the bodies of calls to a control instance were not bounded, and connections could take all descriptors.

Small chunks are copied. Streamed bodies are counted; without memory a request gets 503 before it is dispatched.

--- a/packages/hyssopfront/src/gateway/gateway-request.ts
+++ b/packages/hyssopfront/src/gateway/gateway-request.ts
@@ -6,7 +6,7 @@
 import { CREDENTIALS_HEADER } from "../client-accounts/authenticate.js";
 import { selectRequestHeaders } from "../routing/headers.js";
 import { BodyTooLargeError, bufferOrStreamBody, streamBody, type StreamedBody } from "../routing/request-body.js";
-import type { BodyMemoryReservation } from "./body-memory.js";
+import { type BodyMemoryReservation, NoBodyMemoryError } from "./body-memory.js";
 import type { HeaderNames } from "./header-names.js";
 
 /** Largest body that is buffered, in bytes, so that the request can be retried; longer ones are streamed. */
@@ -87,7 +87,8 @@
 /**
  * Reads the body, or starts to stream one that is long or for which there is no memory.
  *
- * @throws BodyTooLargeError if the body exceeds the limit; the error of the connection if the caller closes it early.
+ * @throws BodyTooLargeError if the body exceeds the limit; NoBodyMemoryError if there is no memory, not even for
+ * streaming it; the error of the connection if the caller closes it early.
  */
 async function readBody(
     message: IncomingMessage,
@@ -104,15 +105,26 @@
     // The length is reserved at once, because a body that is streamed from its beginning needs no memory.
     const isReserved = contentLength <= MAXIMUM_BUFFERED_BODY_BYTES && memory.tryReserve(contentLength);
     if (!isReserved && contentLength > MAXIMUM_UNRESERVED_BODY_BYTES) {
+        reserveStream(memory);
         return streamBody(message, maximumBodyBytes);
     }
     // Chunked bodies have no known length.
     let bytes = 0;
-    return bufferOrStreamBody(message, maximumBodyBytes, chunkBytes => {
+    const body = await bufferOrStreamBody(message, maximumBodyBytes, chunkBytes => {
         bytes += chunkBytes;
         return bytes <= Math.max(contentLength, MAXIMUM_UNRESERVED_BODY_BYTES)
             || (bytes <= MAXIMUM_BUFFERED_BODY_BYTES && memory.tryReserve(chunkBytes));
     });
+    if (!Buffer.isBuffer(body)) {
+        reserveStream(memory);
+    }
+    return body;
+}
+
+function reserveStream(memory: BodyMemoryReservation): void {
+    if (!memory.tryReserveStream()) {
+        throw new NoBodyMemoryError();
+    }
 }
 
 /** Returns why the body could not be read to its end, or undefined. The backend server is not to blame for that. */
@@ -128,7 +140,8 @@
  *
  * @param memory Reserves the memory of the bodies of the request and its response.
  * @param identity Who sends the request; undefined if the deployment has no client accounts.
- * @throws BodyTooLargeError if the body exceeds the limit; the error of the connection if the caller closes it early.
+ * @throws BodyTooLargeError if the body exceeds the limit; NoBodyMemoryError if there is no memory for it; the error of
+ * the connection if the caller closes it early.
  */
 export async function readGatewayRequest(
     message: IncomingMessage,
--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -8,10 +8,12 @@
 import { type ClientAccount, intersectHomeRegions } from "../client-accounts/client-account.js";
 import { errorFields, EventLevel } from "../event-log/event-log.js";
 import { readPendingData } from "../http/read-pending-data.js";
+import { RefusalReason } from "../http/refusals.js";
+import type { UnfinishedBodies } from "../http/unfinished-bodies.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
 import type { AcceptQueue } from "./accept-queue.js";
-import { type BodyMemory, type BodyMemoryReservation, releaseWhenSent } from "./body-memory.js";
+import { type BodyMemory, type BodyMemoryReservation, NoBodyMemoryError, releaseWhenSent } from "./body-memory.js";
 import { createCallerResponse } from "./caller-response.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
@@ -36,6 +38,8 @@
 const OVERLOADED_RETRY_MS = 200;
 /** Time after which callers that were rejected before the catalog was complete should retry, in milliseconds. */
 const NOT_READY_RETRY_MS = 300;
+/** Time after which callers for whose bodies there is no memory should retry, in milliseconds. */
+const NO_MEMORY_RETRY_MS = 1_000;
 /** Time after which callers that no region may serve should retry, in milliseconds. */
 const NO_REGION_RETRY_MS = 1_000;
 
@@ -46,6 +50,7 @@
     readonly acceptQueue: AcceptQueue;
     readonly catalog: CatalogView;
     readonly bodyMemory: BodyMemory;
+    readonly unfinishedBodies: UnfinishedBodies;
     readonly isCatalogComplete: () => boolean;
     /** Whether more than one request is in progress on the connection of a caller. */
     readonly isPipelining: (connection: Socket) => boolean;
@@ -142,6 +147,11 @@
         if (error instanceof BodyTooLargeError) {
             respond(413, "the body is too large");
         }
+        else if (error instanceof NoBodyMemoryError) {
+            dependencies.unfinishedBodies.closeStalled();
+            dependencies.unfinishedBodies.report(RefusalReason.NoMemory);
+            respond(503, "there is no memory for the body", NO_MEMORY_RETRY_MS);
+        }
         else {
             log(EventLevel.Info, "request not read", { request: id, ...errorFields(error) });
             caller.abort();
--- a/packages/hyssopfront/src/gateway/start-gateway.ts
+++ b/packages/hyssopfront/src/gateway/start-gateway.ts
@@ -11,14 +11,16 @@
 import { GATEWAY_CLUSTER_ID } from "../gateway-control/messages.js";
 import { trackCallerConnections } from "../http/caller-connections.js";
 import { discardRest } from "../http/discard-rest.js";
+import { type ConnectionLimit, limitConnections } from "../http/limit-connections.js";
 import { readBeforeIdleClose } from "../http/read-before-idle-close.js";
 import { rejectInvalidHeaders } from "../http/reject-invalid-headers.js";
 import { reportAcceptErrors } from "../http/report-accept-errors.js";
+import { createUnfinishedBodies } from "../http/unfinished-bodies.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { createTimers } from "../routing/timers.js";
 import { watchAcceptQueue } from "./accept-queue.js";
 import { createBackendServers } from "./backend-servers.js";
-import { createBodyMemory } from "./body-memory.js";
+import { createInstanceBodyMemory } from "./body-memory.js";
 import { createCatalogView, type NamedRoute } from "./catalog-view.js";
 import { measureEventLoopLag } from "./event-loop-lag.js";
 import { createFeedState } from "./feed-state.js";
@@ -63,6 +65,10 @@
     readonly availabilityZone: string;
     /** CPU capacity of this instance, in cores. */
     readonly cores: number;
+    /** Memory of this instance, in bytes; undefined if it is not known. */
+    readonly memoryBytes?: number | undefined;
+    /** Limit of the connections that the servers of this process accept. Default: there is none. */
+    readonly connectionLimit?: ConnectionLimit;
     readonly getRegion: (availabilityZone: string) => string;
     /** All regions with callers. */
     readonly regions: readonly string[];
@@ -185,6 +191,10 @@
     });
     const server = createServer({ maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 });
     readBeforeIdleClose(server);
+    const unfinishedBodies = createUnfinishedBodies({ clock, counters: metrics, log, listener: "callers" });
+    if (options.connectionLimit !== undefined) {
+        limitConnections(server, options.connectionLimit, unfinishedBodies);
+    }
     const connections = trackCallerConnections(server, clock);
     const dependencies: ServeDependencies = {
         clock,
@@ -208,7 +218,8 @@
             port: options.callerPort,
         }),
         catalog,
-        bodyMemory: createBodyMemory(),
+        bodyMemory: createInstanceBodyMemory(options.memoryBytes),
+        unfinishedBodies,
         isCatalogComplete: () => feedState.isComplete,
         isPipelining: connection => connections.isPipelining(connection),
         currentStop: () => currentStop,
@@ -216,6 +227,7 @@
     };
 
     const handleRequest = rejectInvalidHeaders(server, (message, response) => {
+        unfinishedBodies.watch(message);
         connections.startRequest(message, response);
         response.once("finish", () => discardRest(message));
         serveRequest(dependencies, message, response).catch((error: unknown) => {
@@ -266,6 +278,7 @@
             await feeds.close();
             timers.close();
             eventLoopLag.close();
+            unfinishedBodies.close();
             servers.close();
         },
     };
--- a/packages/hyssopfront/src/routing/request-body.ts
+++ b/packages/hyssopfront/src/routing/request-body.ts
@@ -2,6 +2,7 @@
  * Bodies of callers' requests, which are buffered or streamed, with a size limit.
  */
 import type { IncomingMessage } from "node:http";
+import { createBodyChunks } from "./body-chunks.js";
 
 /** Thrown when a body is larger than allowed. */
 export class BodyTooLargeError extends Error {
@@ -45,11 +46,11 @@
     mayBuffer: (bytes: number) => boolean,
 ): Promise<Buffer | StreamedBody> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
+        const chunks = createBodyChunks();
         let bytes = 0;
         const collect = (chunk: Buffer) => {
             bytes += chunk.length;
-            chunks.push(chunk);
+            chunks.append(chunk);
             if (bytes > limitBytes) {
                 request.off("data", collect);
                 request.pause();
@@ -58,11 +59,14 @@
             else if (!mayBuffer(chunk.length)) {
                 request.off("data", collect);
                 request.pause();
-                resolve(streamBody(request, limitBytes, chunks));
+                resolve(streamBody(request, limitBytes, chunks.take()));
             }
         };
         request.on("data", collect);
-        request.on("end", () => resolve(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)));
+        request.on("end", () => {
+            const all = chunks.take();
+            resolve(all.length === 1 ? all[0] as Buffer : Buffer.concat(all));
+        });
         request.on("error", reject);
         request.on("close", () => {
             if (!request.complete) {
