--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -10,10 +10,12 @@
 import { type QuotaDecision, QuotaOutcome } from "../client-accounts/quotas/account-state.js";
 import { errorFields, EventLevel } from "../event-log/event-log.js";
 import { readPendingData } from "../http/read-pending-data.js";
+import { RefusalReason } from "../http/refusals.js";
+import type { UnfinishedBodies } from "../http/unfinished-bodies.js";
 import type { PrometheusMetrics } from "../metrics/prometheus-metrics.js";
 import { BodyTooLargeError } from "../routing/request-body.js";
 import type { AcceptQueue } from "./accept-queue.js";
-import type { BodyMemory, BodyMemoryReservation } from "./body-memory.js";
+import { type BodyMemory, type BodyMemoryReservation, NoBodyMemoryError } from "./body-memory.js";
 import { createCallerResponse } from "./caller-response.js";
 import type { CatalogView, NamedRoute } from "./catalog-view.js";
 import type { EventLoopLag } from "./event-loop-lag.js";
@@ -39,6 +41,8 @@
 const OVERLOADED_RETRY_MS = 200;
 /** Time after which callers that were rejected before the catalog was complete should retry, in milliseconds. */
 const NOT_READY_RETRY_MS = 300;
+/** Time after which callers for whose bodies there is no memory should retry, in milliseconds. */
+const NO_MEMORY_RETRY_MS = 1_000;
 /** Time after which callers that no region may serve should retry, in milliseconds. */
 const NO_REGION_RETRY_MS = 1_000;
 
@@ -51,6 +55,7 @@
     readonly accountQuotas: AccountQuotas;
     readonly bodyMemory: BodyMemory;
     readonly unreadResponses: UnreadResponses;
+    readonly unfinishedBodies: UnfinishedBodies;
     readonly isCatalogComplete: () => boolean;
     /** Whether more than one request is in progress on the connection of a caller. */
     readonly isPipelining: (connection: Socket) => boolean;
@@ -184,6 +189,11 @@
         if (error instanceof BodyTooLargeError) {
             respond(413, "the body is too large");
         }
+        else if (error instanceof NoBodyMemoryError) {
+            dependencies.unfinishedBodies.closeStalled();
+            dependencies.unfinishedBodies.report(RefusalReason.NoMemory);
+            respond(503, "there is no memory for the body", NO_MEMORY_RETRY_MS);
+        }
         else {
             log(EventLevel.Info, "request not read", { request: id, ...errorFields(error) });
             caller.abort();
