Select the first backend server of an object without ranking the others

Each change of a backend server invalidates the rankings of its service. While one is replaced every 100 ms, an entry changes its view of each of three services several times a second and gets about as many requests for it, so that nearly each request sorted all 81 backend servers of the service to use the first one.

The first backend server is now found in one pass, with the same weights and hashes; the others are ranked only when it cannot be selected, or when the request excludes backend servers or is restricted to regions. A new scenario checks that the first one is the same as in the ranking, with weights of 0 and equal distances.

--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
@@ -61,3 +61,7 @@
 
   Scenario: A route with home regions is served only there
     Then each object from north whose home region is south is in south
+
+  # Guards against a selection without ranking that sends an object to another backend server than the ranking does.
+  Scenario: The first backend server of an object is the one that is ranked first
+    Then the first of up to 20 random candidates is the same as in the ranking, with seed 7
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.steps.ts
@@ -1,10 +1,12 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import { createManualClock } from "@hyssopfront/coordination";
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { BackendServerState } from "../../registry/backend-record.js";
 import { SAMPLE_BACKEND_RECORD } from "../../registry/sample-backend-record.js";
 import { type BackendServer, type BackendServers, createBackendServers } from "../backend-servers.js";
 import { createLoadBalancer, type LoadBalancer, SelectionFailure } from "./load-balancer.js";
+import { findFirstByWeight, rankByWeight } from "./region-shares.js";
 import { hashText } from "./simulated-service.js";
 
 const OBJECTS = Array.from({ length: 100 }, (_, index) => `object-${index}`);
@@ -180,3 +182,19 @@
 Then("each object from north whose home region is south is in south", () => {
     assert.ok(OBJECTS.every(key => expectServer(key, ["south"]).region === "south"));
 });
+Then(
+    "the first of up to {int} random candidates is the same as in the ranking, with seed {int}",
+    (maximum: number, seed: number) => {
+        // Few different weights and hashes, so that weights of 0 and equal distances are frequent.
+        const candidate = fc.record({ weight: fc.constantFrom(0, 0, 0.5, 1, 3), hash: fc.integer({ min: 0, max: 5 }) });
+        fc.assert(
+            fc.property(fc.array(candidate, { maxLength: maximum }), candidates => {
+                const getWeight = ({ weight }: (typeof candidates)[number]) => weight;
+                const getHash = ({ hash }: (typeof candidates)[number]) => hash * 0x2aaaaaaa;
+                const [first] = rankByWeight(candidates, getWeight, getHash);
+                assert.equal(findFirstByWeight(candidates, getWeight, getHash), first);
+            }),
+            { seed, numRuns: 2_000 },
+        );
+    },
+);
--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.ts
@@ -10,7 +10,7 @@
 import type { Clock } from "@hyssopfront/coordination";
 import type { BackendServer, BackendServers } from "../backend-servers.js";
 import { HealthState } from "./health.js";
-import { combineHashes, computeRegionShares, rankByWeight } from "./region-shares.js";
+import { combineHashes, computeRegionShares, findFirstByWeight, rankByWeight } from "./region-shares.js";
 
 /**
  * Requests that may queue at their preferred backend server, as a multiple of its slots; more would miss the objective.
@@ -78,7 +78,9 @@
     readonly generation: string;
     readonly candidates: readonly BackendServer[];
     readonly getWeight: (server: BackendServer) => number;
-    /** Backend servers in order of preference. */
+    /** Most preferred backend server. */
+    readonly firstByKey: Map<string, BackendServer | undefined>;
+    /** Backend servers in order of preference; only for keys whose first one could not be selected. */
     readonly byKey: Map<string, readonly BackendServer[]>;
 };
 
@@ -141,18 +143,39 @@
     const getRankings = (service: string): ServiceRankings => {
         const generation = `${servers.getGeneration(service)}/${options.evacuationGeneration()}`;
         const current = rankingsByService.get(service);
-        if (current?.generation === generation && current.byKey.size < MAXIMUM_CACHED_RANKINGS) {
+        if (
+            current?.generation === generation
+            && Math.max(current.firstByKey.size, current.byKey.size) < MAXIMUM_CACHED_RANKINGS
+        ) {
             return current;
         }
         // Evacuated zones are left out before the weights are computed, so that the requests that no longer fit in the
         // region go to regions with spare capacity.
         const candidates = servers.listUsable(service)
             .filter(server => !options.isEvacuated(server.record.availabilityZone));
-        const rankings = { generation, candidates, getWeight: computeWeights(candidates), byKey: new Map() };
+        const getWeight = computeWeights(candidates);
+        const rankings = { generation, candidates, getWeight, firstByKey: new Map(), byKey: new Map() };
         rankingsByService.set(service, rankings);
         return rankings;
     };
 
+    /** While servers change, few keys are used again before the next change, so that a sorted ranking is used once. */
+    const findFirst = (service: string, key: string) => {
+        const { candidates, getWeight, firstByKey } = getRankings(service);
+        const cached = firstByKey.get(key);
+        if (cached !== undefined) {
+            return cached;
+        }
+        const keyHash = hash(key);
+        const first = findFirstByWeight(
+            candidates,
+            getWeight,
+            server => combineHashes(keyHash, getAddressHash(server)),
+        );
+        firstByKey.set(key, first);
+        return first;
+    };
+
     const rank = (service: string, key: string) => {
         const { candidates, getWeight, byKey } = getRankings(service);
         const cached = byKey.get(key);
@@ -185,17 +208,25 @@
 
     return {
         selectServer: selectionRequest => {
-            const { service } = selectionRequest;
+            const { service, affinityKey, homeRegions, excluded } = selectionRequest;
             const connectionLimit = options.connectionLimit(service);
+            const isEligible = (server: BackendServer) =>
+                isHealthy(server) && server.inFlight < connectionLimit && isWithinSlowStartQuota(server);
+            const now = clock.monotonicMilliseconds();
+            const hasShortQueue = (server: BackendServer) =>
+                estimateLoad(server, now) < server.record.slots * (1 + QUEUE_RATIO);
+            if (excluded.size === 0 && homeRegions.length === 0) {
+                const first = findFirst(service, affinityKey);
+                if (first !== undefined && isEligible(first) && hasShortQueue(first)) {
+                    return first;
+                }
+            }
             const allowed = rankAllowed(selectionRequest);
             if (allowed.length === 0) {
                 return SelectionFailure.NoBackendServer;
             }
-            const isEligible = (server: BackendServer) =>
-                isHealthy(server) && server.inFlight < connectionLimit && isWithinSlowStartQuota(server);
-            const now = clock.monotonicMilliseconds();
             const preferred = allowed.find(isEligible);
-            if (preferred !== undefined && estimateLoad(preferred, now) < preferred.record.slots * (1 + QUEUE_RATIO)) {
+            if (preferred !== undefined && hasShortQueue(preferred)) {
                 return preferred;
             }
             // A backend server without a recent report may be full of requests of other entries, which this one cannot see.
--- a/packages/hyssopfront/src/gateway/load-balancing/region-shares.ts
+++ b/packages/hyssopfront/src/gateway/load-balancing/region-shares.ts
@@ -39,6 +39,10 @@
     return new Map([[origin, localShare], ...remoteShares]);
 }
 
+const HASH_RANGE = 2 ** 32;
+const computeDistance = (hash: number, weight: number) =>
+    -Math.log((hash + 0.5) / HASH_RANGE) / (weight > 0 ? weight : 1);
+
 /**
  * Ranks the backend servers for a key by weighted rendezvous hashing, which moves the fewest keys possible when a
  * weight changes or a server comes or goes.
@@ -52,17 +56,41 @@
     getWeight: (candidate: T) => number,
     getHash: (candidate: T) => number,
 ): readonly T[] {
-    const HASH_RANGE = 2 ** 32;
     return candidates
         .map(candidate => {
-            const uniform = (getHash(candidate) + 0.5) / HASH_RANGE;
             const weight = getWeight(candidate);
-            return { candidate, isLast: weight <= 0, distance: -Math.log(uniform) / (weight > 0 ? weight : 1) };
+            return { candidate, isLast: weight <= 0, distance: computeDistance(getHash(candidate), weight) };
         })
         .sort((a, b) => Number(a.isLast) - Number(b.isLast) || a.distance - b.distance)
         .map(({ candidate }) => candidate);
 }
 
+/**
+ * Returns the candidate that `rankByWeight` would rank first, without ranking the others.
+ *
+ * @returns `undefined` without candidates.
+ */
+export function findFirstByWeight<T>(
+    candidates: readonly T[],
+    getWeight: (candidate: T) => number,
+    getHash: (candidate: T) => number,
+): T | undefined {
+    let first: T | undefined;
+    let isFirstLast = true;
+    let firstDistance = Infinity;
+    candidates.forEach(candidate => {
+        const weight = getWeight(candidate);
+        const isLast = weight <= 0;
+        const distance = computeDistance(getHash(candidate), weight);
+        if (isLast === isFirstLast ? distance < firstDistance || first === undefined : isFirstLast) {
+            first = candidate;
+            isFirstLast = isLast;
+            firstDistance = distance;
+        }
+    });
+    return first;
+}
+
 /**
  * Combines the hashes of a key and a candidate, which is much faster than hashing their joined text for each candidate.
  *
