--- a/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
+++ b/packages/hyssopfront/src/gateway/load-balancing/load-balancer.feature
@@ -75,3 +75,7 @@
     When all other backend servers are idle, and north-a-1 has 6 requests
     And requests leave a headroom, so that at most 1.0 requests a slot run
     Then there is no capacity for objects of north-a-1, and the others stay
+
+  # Guards against a selection without ranking that sends an object to another backend server than the ranking does.
+  Scenario: The first backend server of an object is the one that is ranked first
+    Then the first of up to 20 random candidates is the same as in the ranking, with seed 7
