--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -287,8 +287,8 @@
     }
     assert.ok(isDone(), "The condition was not met in time.");
 };
-/** Waits until the changes of the feed have reached the entry. */
-const waitForFeed = () => clock.sleep(120);
+/** Waits until the changes of the feed, which it releases at most every 200 ms, have reached the entry. */
+const waitForFeed = () => clock.sleep(320);
 
 const routeTo = (service: string, isIdempotent: boolean): Route => ({
     ...SAMPLE_ROUTE,
