--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -17,7 +17,7 @@
 import { parsePauseMilliseconds } from "./server-notices.js";
 import type { Gateway } from "./start-gateway.js";
 import { canWaitForRequest, type EntryStop } from "./stop-admission.js";
-import { startTestEntry } from "./test-entry.js";
+import { FEED_DELAY_MS, startTestEntry } from "./test-entry.js";
 
 const HOST = "127.0.0.1";
 const BODY = "x".repeat(2_000);
@@ -288,7 +288,7 @@
     assert.ok(isDone(), "The condition was not met in time.");
 };
 /** Waits until the changes of the feed, which it releases at most every 200 ms, have reached the entry. */
-const waitForFeed = () => clock.sleep(320);
+const waitForFeed = () => clock.sleep(FEED_DELAY_MS);
 
 const routeTo = (service: string, isIdempotent: boolean): Route => ({
     ...SAMPLE_ROUTE,
--- a/packages/hyssopfront/src/gateway/pipelining/pipelining.steps.ts
+++ b/packages/hyssopfront/src/gateway/pipelining/pipelining.steps.ts
@@ -12,6 +12,7 @@
 import { DEFAULT_LIMITS } from "../catalog-view.js";
 import { SAMPLE_HEADER_NAMES as NAMES } from "../sample-header-names.js";
 import {
+    FEED_DELAY_MS,
     formatHead,
     formatRequest,
     publishService,
@@ -176,7 +177,7 @@
         FeedKey.Item + itemKey(kind, "limits"),
         () => ({ kind, name: "limits", version: 1, value, source: undefined }),
     );
-    await sleep(120);
+    await sleep(FEED_DELAY_MS);
 });
 Given(
     "a server that gives requests {int} ms for their heads and responds after {int} ms",
--- a/packages/hyssopfront/src/gateway/slow-readers/slow-readers.steps.ts
+++ b/packages/hyssopfront/src/gateway/slow-readers/slow-readers.steps.ts
@@ -3,6 +3,7 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
+    FEED_DELAY_MS,
     formatHead,
     formatRequest,
     publishService,
@@ -46,7 +47,7 @@
 const setTimeoutOfRoute = async (timeoutMilliseconds: number) => {
     configurationVersion += 1;
     publishService(entry.feed, "stoc", { timeoutMilliseconds, maximumAttempts: 1 }, configurationVersion);
-    await sleep(120);
+    await sleep(FEED_DELAY_MS);
 };
 const closeEntry = async () => {
     await entry.gateway.stop(500);
