Wait 120 ms for a change of the feed in the scenarios of the gateway again

Cause: since the first releases of a second are 50 ms apart, so that a single change arrives as soon as before.

--- a/packages/hyssopfront/src/gateway/gateway.steps.ts
+++ b/packages/hyssopfront/src/gateway/gateway.steps.ts
@@ -287,7 +287,7 @@
     }
     assert.ok(isDone(), "The condition was not met in time.");
 };
-/** Waits until the changes of the feed, which it releases at most every 200 ms, have reached the entry. */
+/** Waits until the changes of the feed have reached the entry. */
 const waitForFeed = () => clock.sleep(FEED_DELAY_MS);
 
 const routeTo = (service: string, isIdempotent: boolean): Route => ({
--- a/packages/hyssopfront/src/gateway/test-entry.ts
+++ b/packages/hyssopfront/src/gateway/test-entry.ts
@@ -17,8 +17,8 @@
 
 /** Address of the entry and its stand-ins. */
 export const TEST_HOST = "127.0.0.1";
-/** Time in which a change of the feed, which is released at most every 200 ms, reaches the entry, in milliseconds. */
-export const FEED_DELAY_MS = 320;
+/** Time in which a change of the feed reaches the entry, in milliseconds. */
+export const FEED_DELAY_MS = 120;
 
 const clock = createSystemClock();
 
