--- a/packages/hyssopfront/src/feed/change-feed.ts
+++ b/packages/hyssopfront/src/feed/change-feed.ts
@@ -98,7 +98,7 @@
     const waitingReaders = new Set<() => void>();
     const waitDeadlines = createDeadlineTimer(clock);
     let position = 0;
-    /** Position up to which waiting readers have been told of the changes. */
+    /** Position up to which changes have been released to waiting readers. */
     let releasedPosition = 0;
     /** Times of the latest releases. */
     let releaseTimes: readonly number[] = [];
--- a/packages/hyssopfront/src/gateway/priority-admission/service-pressure.ts
+++ b/packages/hyssopfront/src/gateway/priority-admission/service-pressure.ts
@@ -1,7 +1,7 @@
 /**
  * Load and completion rate of one service as an entry sees them in the responses that it gets.
  *
- * With dozens of entries, an entry hears of one backend server only every few seconds, which is too rarely to tell
+ * With dozens of entries, an entry gets a response of one backend server only every few seconds, which is too rarely to tell
  * whether that one has a free slot now. The responses of all backend servers of a service together come many times a
  * second and tell how loaded they are on average.
  */
