Look up a route once for a request where there are no client accounts

Cause: the route was looked up before and after the body of each request, although only authentication needs it before. Change: without accounts the first lookup is left out. Authentication does not use it then, so no response changes.

--- a/packages/hyssopfront/src/gateway/serve-request.ts
+++ b/packages/hyssopfront/src/gateway/serve-request.ts
@@ -165,7 +165,8 @@
         return;
     }
     const target = readTarget(message);
-    const requestedRoute = catalog.findRoute(target.host, target.path);
+    // Without accounts the route is looked up only once, when the body has been read.
+    const requestedRoute = catalog.accounts.isEmpty ? undefined : catalog.findRoute(target.host, target.path);
     const account = authenticate(
         catalog.accounts,
         message.headers[CREDENTIALS_HEADER],
