Promote a learner only once it holds all that is committed

A learner counted as caught up while it lacked up to 64 entries. The logs of most control groups are shorter than that, so that a learner which had stored nothing became a voter. Beside voters that are lost it then makes a majority that holds less than was acknowledged, and commits wait for it.

The promotion now waits, for one election timeout at most, until the learner holds the commit index of the call.

--- a/packages/coordination/src/consensus/consensus.feature
+++ b/packages/coordination/src/consensus/consensus.feature
@@ -187,6 +187,15 @@
     Then its promotion succeeds within 3000 ms
     And a crashed voter can be removed, after which two of three voters form a quorum
 
+  # Guards against a voter that holds nothing of what was acknowledged: the logs of most groups are short.
+  Scenario: A learner that has stored nothing is not promoted however short the log is
+    Given a group of 3 replicas with seed 31
+    And 5 proposals are acknowledged
+    When a new replica is added as a learner whose disk hangs once it has stored the term
+    Then its promotion is rejected
+    When its disk no longer hangs
+    Then its promotion succeeds within 3000 ms
+
   Scenario: A membership change that would leave no responding majority is rejected
     Given a group of 3 replicas with seed 28
     And 5 proposals are acknowledged
--- a/packages/coordination/src/consensus/consensus.steps.ts
+++ b/packages/coordination/src/consensus/consensus.steps.ts
@@ -413,13 +413,31 @@
     },
 );
 
-When("a new replica that is isolated is added as a learner", async () => {
+const addLearner = async (restrict: () => void) => {
     group.addNode("d");
     group.start("d", []);
-    group.isolate("d");
+    restrict();
     const { storeId } = group.nodes.get("d")!.disk;
     const change = { kind: MembershipChange.AddLearner, name: "d", storeId };
     assert.equal(await group.outcomeOf(group.leader()!.replica!.changeMembership(change)), undefined);
+};
+When("a new replica that is isolated is added as a learner", () => addLearner(() => group.isolate("d")));
+When("a new replica is added as a learner whose disk hangs once it has stored the term", async () => {
+    await addLearner(() => {
+        const { disk } = group.nodes.get("d")!;
+        let { hardState } = disk;
+        Object.defineProperty(disk, "hardState", {
+            get: () => hardState,
+            set: (stored: typeof hardState) => {
+                hardState = stored;
+                disk.isHanging = true;
+            },
+        });
+    });
+    assert.equal(group.nodes.get("d")!.disk.isHanging, true);
+});
+When("its disk no longer hangs", () => {
+    group.nodes.get("d")!.disk.isHanging = false;
 });
 
 const promote = () =>
--- a/packages/coordination/src/consensus/membership-changes.ts
+++ b/packages/coordination/src/consensus/membership-changes.ts
@@ -11,9 +11,6 @@
 import { encodeEntry, EntryType } from "./payloads.js";
 import { waitUntil } from "./waiting.js";
 
-/** A learner counts as caught up when it lacks at most this many entries, which fit in one append. */
-const MAXIMUM_LEARNER_LAG_ENTRIES = 64;
-
 /**
  * Makes one membership change and resolves once it is committed and applied.
  *
@@ -31,11 +28,11 @@
     if ((context.memberships.at(-1)?.index ?? 0) > context.commitIndex) {
         throw new MembershipError("change", change.name, "Another membership change is still uncommitted.");
     }
-    if (change.kind === MembershipChange.Promote) {
-        assertCaughtUp(context, leadership, change.name);
-    }
     const current = contexts.currentMembers(context);
     const members = applyMembershipChange(current, change, storeId);
+    if (change.kind === MembershipChange.Promote) {
+        await assertCaughtUp(context, leadership, change.name);
+    }
     await assertQuorumResponds(context, leadership, members, change.name);
     if (contexts.currentMembers(context) !== current) {
         throw new MembershipError("change", change.name, "Another membership change was made concurrently.");
@@ -68,13 +65,22 @@
 }
 
 /**
- * Rejects the promotion of a learner that lags behind: commits that need its vote would stall until it has caught up.
+ * Rejects the promotion of a learner that lacks some of what the group has committed. Such a voter would stall commits
+ * that need its vote, and beside voters that are lost it would make a majority that holds less than was acknowledged.
  */
-function assertCaughtUp(context: ReplicaContext, leadership: Leadership, name: string): void {
-    const peer = leadership.peers.get(name);
-    const member = contexts.currentMembers(context).find(candidate => candidate.name === name);
-    const isCaughtUp = peer !== undefined && peer.storeId === member?.storeId
-        && peer.matchIndex + MAXIMUM_LEARNER_LAG_ENTRIES >= context.storage.lastIndex;
+async function assertCaughtUp(context: ReplicaContext, leadership: Leadership, name: string): Promise<void> {
+    const { commitIndex } = context;
+    const storeId = contexts.currentMembers(context).find(member => member.name === name)?.storeId;
+    const isCaughtUp = await waitUntil(
+        context.clock,
+        () => {
+            const peer = leadership.peers.get(name);
+            return peer !== undefined && peer.storeId === storeId && peer.matchIndex >= commitIndex;
+        },
+        leadership.acknowledged,
+        leadership.ended.signal,
+        context.options.electionTimeoutMilliseconds.minimum,
+    );
     if (!isCaughtUp) {
         throw new MembershipError("promote", name, `${name} has not caught up with the log yet.`);
     }
