Replace a silent voter by its successor after 1 s

Callers got 503 to every call for good: a control instance went silent, its successor had run for 4 s, and then two others lost their disks. Two of five voters were left.

Cause: the leader replaced a voter only after 3 s without a connection, and a connection ends after 2 s of silence, so that the lost instance counted for over 5 s beside a successor that held everything. Each of the changes of membership also waited for the next round.

The leader now measures silence by the heartbeats that a member has not acknowledged, and lets a learner take the place of a voter after 1 s. The successor becomes a voter before the other one is removed, and only once it holds all that is committed, so no voter is ever missing for it, also if the other one only paused: it returns as a learner. Without a learner that has caught up, voters are kept as before. The voter that has been silent for longest goes first, and the changes follow each other without a pause.

--- a/packages/coordination/src/consensus/replica-types.ts
+++ b/packages/coordination/src/consensus/replica-types.ts
@@ -143,6 +143,11 @@
     leadingForMilliseconds(): number | undefined;
     /** Milliseconds for which this replica has known no leader; 0 while it knows one and before it has started. */
     leaderlessForMilliseconds(): number;
+    /**
+     * On the leader: milliseconds since the latest request that the named member has acknowledged was sent, or since
+     * this leader first sent it one; undefined on other replicas and for names that are no other member.
+     */
+    silentForMilliseconds(name: string): number | undefined;
     /**
      * Makes one membership change and resolves once it is committed and applied.
      *
--- a/packages/coordination/src/consensus/replica.ts
+++ b/packages/coordination/src/consensus/replica.ts
@@ -96,6 +96,12 @@
         },
         leaderlessForMilliseconds: () =>
             context.leaderlessSince === undefined ? 0 : contexts.now(context) - context.leaderlessSince,
+        silentForMilliseconds: name => {
+            const peer = context.leadership?.peers.get(name);
+            return peer === undefined
+                ? undefined
+                : contexts.now(context) - Math.max(peer.acknowledgedSentAt, peer.progressedAt);
+        },
         changeMembership: change => changeMembership(context, change),
         transferLeadership: target => transferLeadership(context, target),
         status: () => statusOf(context),
--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -4,6 +4,7 @@
  */
 import {
     type Clock,
+    type Member,
     MembershipChange,
     type MembershipRequest,
     type Replica,
@@ -16,8 +17,14 @@
 const ROUND_INTERVAL_MS = 250;
 /** Time without a leader after which an instance asks to join, as it may have been removed, in milliseconds. */
 const LEADERLESS_TIMEOUT_MS = 1_500;
-/** Time after which an unreachable member may be replaced, in milliseconds. Longer than the restart of a process. */
+/** Time after which a silent member may be removed, in milliseconds. Longer than the restart of a process. */
 const MEMBER_TIMEOUT_MS = 3_000;
+/**
+ * Time after which a silent voter is replaced by a learner that has caught up, in milliseconds. The successor of a lost
+ * instance must count in its place 4 s after its start, of which its start and an election take up to 2.5 s. A voter that
+ * only paused becomes a learner, so that no voter is missing either way.
+ */
+const REPLACED_VOTER_TIMEOUT_MS = 1_000;
 /** A joining instance repeats its request every round. Requests expire after this time, in milliseconds. */
 const JOIN_REQUEST_LIFETIME_MS = 2_000;
 /** Deadline of a join request, in milliseconds. */
@@ -73,7 +80,6 @@
 export function createFormation(options: FormationOptions): Formation {
     const { clock, self, peers } = options;
     const joinRequests = new Map<string, number>();
-    const reachedAt = new Map<string, number>();
     let reportedMembers: readonly string[] = [];
     /** Members when this instance last had a leader. It stays connected to them while its storage is not open. */
     let knownMembers: readonly string[] = [];
@@ -83,63 +89,65 @@
         [...new Set([...options.seeds(), ...listMembers(status), ...knownMembers, ...reportedMembers])]
             .filter(name => name !== self);
 
-    const updateReachable = () => {
-        const now = clock.monotonicMilliseconds();
-        peers.connected().forEach(name => reachedAt.set(name, now));
-    };
-    const isUnreachable = (name: string) => {
-        const now = clock.monotonicMilliseconds();
-        // For an instance that was never reached, the timeout starts at the first check.
-        const since = reachedAt.get(name) ?? now;
-        reachedAt.set(name, since);
-        return name !== self && now - since >= MEMBER_TIMEOUT_MS;
-    };
-
     const findJoiner = (members: ReplicaStatus["members"]) => {
         const now = clock.monotonicMilliseconds();
         const isKnown = (name: string) => members.some(member => member.name === name);
         return [...joinRequests].find(([name, at]) => !isKnown(name) && now - at < JOIN_REQUEST_LIFETIME_MS)?.[0];
     };
-    const findLearner = (members: ReplicaStatus["members"]) => {
-        const connected = new Set(peers.connected());
-        return members.find(member => !member.isVoter && connected.has(member.name));
+    /** Milliseconds for which another member has not responded to this leader. */
+    const silenceOf = (replica: Replica, { name }: Member) => replica.silentForMilliseconds(name) ?? 0;
+    /** Returns the learner that responds and lacks the fewest entries. */
+    const findLearner = (replica: Replica) => {
+        const { members, matchIndex } = replica.status();
+        return members
+            .filter(member => !member.isVoter && silenceOf(replica, member) < REPLACED_VOTER_TIMEOUT_MS)
+            .sort((a, b) => (matchIndex[b.name] ?? 0) - (matchIndex[a.name] ?? 0))[0];
     };
+    /** Returns the voter that has been silent for longest, if it may be replaced. */
+    const findLostVoter = (replica: Replica, voters: readonly Member[]) =>
+        voters.filter(voter => silenceOf(replica, voter) >= REPLACED_VOTER_TIMEOUT_MS)
+            .sort((a, b) => silenceOf(replica, b) - silenceOf(replica, a))[0];
 
     /** Returns the next membership change for the leader to make, or `undefined` when none is needed. */
-    const findChange = ({ members }: ReplicaStatus): MembershipRequest | undefined => {
+    const findChange = (replica: Replica): MembershipRequest | undefined => {
+        const { members } = replica.status();
         const voters = members.filter(member => member.isVoter);
-        const unreachableVoter = voters.find(({ name }) => isUnreachable(name));
-        if (unreachableVoter !== undefined && voters.length > options.voterCount) {
-            return { kind: MembershipChange.Remove, name: unreachableVoter.name };
+        const surplus = voters.length - options.voterCount;
+        const lostVoter = findLostVoter(replica, voters);
+        // One voter too many is the successor of the lost one, so that none is missing after the removal.
+        const removalTimeout = surplus === 1 ? REPLACED_VOTER_TIMEOUT_MS : MEMBER_TIMEOUT_MS;
+        if (lostVoter !== undefined && surplus > 0 && silenceOf(replica, lostVoter) >= removalTimeout) {
+            return { kind: MembershipChange.Remove, name: lostVoter.name };
         }
         const joiner = findJoiner(members);
         if (joiner !== undefined) {
             return { kind: MembershipChange.AddLearner, name: joiner };
         }
-        const learner = findLearner(members);
-        if (learner !== undefined && (voters.length < options.voterCount || unreachableVoter !== undefined)) {
+        const learner = findLearner(replica);
+        if (learner !== undefined && (surplus < 0 || (surplus === 0 && lostVoter !== undefined))) {
             return { kind: MembershipChange.Promote, name: learner.name };
         }
-        const unreachableLearner = members.find(member => !member.isVoter && isUnreachable(member.name));
-        return unreachableLearner === undefined
-            ? undefined
-            : { kind: MembershipChange.Remove, name: unreachableLearner.name };
+        const lostLearner = members.find(member => !member.isVoter && silenceOf(replica, member) >= MEMBER_TIMEOUT_MS);
+        return lostLearner === undefined ? undefined : { kind: MembershipChange.Remove, name: lostLearner.name };
     };
 
-    const repairMembership = async (replica: Replica, status: ReplicaStatus) => {
-        const change = findChange(status);
+    /** Makes the changes that are needed, one after another, until none is left or one fails. */
+    const repairMembership = async (replica: Replica): Promise<void> => {
+        const change = replica.holdsLeaderLease() ? findChange(replica) : undefined;
         if (change === undefined) {
             return;
         }
         try {
             await replica.changeMembership(change);
-            joinRequests.delete(change.name);
-            options.onChange(change, undefined);
         }
         catch (error) {
             // The learner is not caught up, a member is unreachable or leadership is lost. The next round retries.
             options.onChange(change, error as Error);
+            return;
         }
+        joinRequests.delete(change.name);
+        options.onChange(change, undefined);
+        await repairMembership(replica);
     };
 
     const requestToJoin = async (status: ReplicaStatus | undefined) => {
@@ -160,7 +168,6 @@
         const status = replica?.status();
         knownMembers = status?.leader === undefined ? knownMembers : listMembers(status);
         peers.maintainConnections(listContacts(status).concat([...joinRequests.keys()]));
-        updateReachable();
         if (replica === undefined || status === undefined) {
             return;
         }
@@ -168,8 +175,8 @@
         if (!isMember || replica.leaderlessForMilliseconds() > LEADERLESS_TIMEOUT_MS) {
             await requestToJoin(status);
         }
-        else if (status.role === ReplicaRole.Leader && replica.holdsLeaderLease()) {
-            await repairMembership(replica, status);
+        else if (status.role === ReplicaRole.Leader) {
+            await repairMembership(replica);
         }
     };
 
@@ -188,7 +195,7 @@
             const { members } = replica.status();
             // A voter that lost its disk is replaced while the others still are a majority of the full group.
             const count = members.filter(({ isVoter, isReturning }) => isVoter || isReturning === true).length;
-            const isCandidateKnown = findJoiner(members) !== undefined || findLearner(members) !== undefined;
+            const isCandidateKnown = findJoiner(members) !== undefined || findLearner(replica) !== undefined;
             return count < options.voterCount && (isCandidateKnown || leadingFor < JOINING_GRACE_MS);
         },
         run: async signal => {
--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
@@ -32,3 +32,12 @@
       | role     |
       | leader   |
       | follower |
+
+  Scenario: Two disks are lost 4 s after the start of the second of two instances that replace silent ones
+    Given 5 instances that start for the first time
+    And all of them are voters
+    When a follower falls silent for good and an instance with an empty disk is added
+    And 4000 ms pass
+    And a leader falls silent for good and an instance with an empty disk is added
+    And 4000 ms later the leader and the voter with the most entries lose their disks while all instances are killed
+    Then the change is read and further ones are acknowledged
--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
@@ -8,18 +8,15 @@
 /** Time within which the first change must be acknowledged at all, in milliseconds; traffic starts then. */
 const FIRST_CHANGE_MS = 10_000;
 
-/** Name of the instance that replaces another one. */
-const ADDED_INSTANCE = "control-6";
-
 let cluster: CatalogCluster;
 let operator: Operator;
 let electedAt: number;
 let acknowledgedAt: number;
-let silent: Instance | undefined;
+let silent: Instance[];
 
 const startInstances = (count: number, voterCount: number, hanging: readonly string[] = []) => {
     ({ cluster, operator } = createCluster(voterCount));
-    silent = undefined;
+    silent = [];
     Array.from({ length: count }, (_, index) => `control-${index + 1}`).forEach(name => cluster.start(name, true));
     hanging.forEach(name => cluster.instances.get(name)?.disk.stall());
 };
@@ -47,10 +44,12 @@
 });
 When("a {word} falls silent for good and an instance with an empty disk is added", async (role: string) => {
     await operator.change();
-    silent = await findInstance(cluster, role);
-    cluster.silence(silent.name);
-    cluster.start(ADDED_INSTANCE, false);
+    const instance = await findInstance(cluster, role);
+    cluster.silence(instance.name);
+    cluster.start(`control-${cluster.instances.size + 1}`, false);
+    silent.push(instance);
 });
+When("{int} ms pass", (milliseconds: number) => clock.sleep(milliseconds));
 
 const loseDisks = async () => {
     const leader = await waitForLeader(cluster);
@@ -61,7 +60,7 @@
     await Promise.all(instances.map(instance => instance.stop()));
     instances.filter(({ name }) => name === leader.name || name === holder?.name)
         .forEach(({ folder }) => rmSync(folder, { recursive: true }));
-    instances.filter(instance => instance !== silent).forEach(({ name }) => cluster.start(name, false));
+    instances.filter(instance => !silent.includes(instance)).forEach(({ name }) => cluster.start(name, false));
 };
 When("the leader and the voter with the most entries lose their disks while all instances are killed", loseDisks);
 When(
