Let an instance that stops give up its place in the control group

The group was left with two of five voters.

Cause: the instance that stopped transferred its leadership, but stayed a voter until its silence was noticed, although the group had a successor that held everything. What the log showed: "membership change" with promote only 3 s after the end of the instance.

An instance that stops now asks the others to replace it, after its calls have ended. The leader promotes a learner that has caught up and then removes the instance, at once. Without such a learner the instance keeps its place and takes part again after its restart, so that a group never shrinks by stops. If the request does not reach the leader, the silence of the instance counts as before. An instance that stops no longer joins.

--- a/packages/hyssopfront/src/formation/formation.feature
+++ b/packages/hyssopfront/src/formation/formation.feature
@@ -48,3 +48,39 @@
     And the voter "e" is silent
     Then after 1500 ms the changes are "promote g, remove e"
     And after 3000 ms the changes are "remove f"
+
+  # Guards against an instance that is stopped as planned, but counts as a voter for 3 s after its end.
+  Scenario: A voter that is about to stop is replaced at once
+    Given a leader of 5 voters and the learner "f"
+    When the voter "e" is about to stop
+    Then after 250 ms the changes are "promote f, remove e"
+
+  Scenario: A voter that is about to stop is replaced before one that is silent
+    Given a leader of 5 voters and no learner
+    When the voter "e" is silent
+    And 1500 ms pass
+    And the voter "d" is about to stop
+    And the learner "f" joins
+    Then after 250 ms the changes are "promote f, remove d"
+
+  # Guards against a group that shrinks when its instances are restarted.
+  Scenario: A voter that stops keeps its place while no learner has caught up
+    Given a leader of 5 voters and the learner "f"
+    And the learner "f" has not caught up
+    When the voter "e" is about to stop
+    Then after 10000 ms there is no change
+
+  Scenario: An instance that is back after a stop is not replaced
+    Given a leader of 5 voters and no learner
+    When the voter "e" is about to stop
+    And 2000 ms pass
+    And the learner "f" joins
+    Then after 10000 ms there is no change
+
+  # Guards against an instance that joins the group again while it stops.
+  Scenario: An instance that is about to stop does not join the group
+    Given a replica that is not a member
+    Then after 500 ms it has asked "b, c" to join
+    When it is about to stop
+    Then it has asked "b, c" to be replaced
+    And after 5000 ms it has asked none to join
--- a/packages/hyssopfront/src/formation/formation.steps.ts
+++ b/packages/hyssopfront/src/formation/formation.steps.ts
@@ -9,7 +9,7 @@
     ReplicaRole,
 } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
-import { createFormation, type Formation } from "./formation.js";
+import { createFormation, type Formation, JOIN_REQUEST_KIND, LEAVE_REQUEST_KIND } from "./formation.js";
 
 const SELF = "a";
 /** Time without a message after which a connection ends, in milliseconds. */
@@ -22,6 +22,7 @@
 let silentSince: Map<string, number>;
 let laggingLearners: Set<string>;
 let changes: MembershipRequest[];
+let requests: { readonly name: string; readonly kind: string }[];
 let formation: Formation;
 let stopping = new AbortController();
 
@@ -52,15 +53,13 @@
         changeMembership,
     }) as unknown as Replica;
 
-const start = (learners: readonly string[]) => {
+const start = (initialMembers: readonly Member[]) => {
     clock = createManualClock();
-    members = [
-        ...VOTERS.map(name => ({ name, isVoter: true })),
-        ...learners.map(name => ({ name, isVoter: false })),
-    ];
+    members = initialMembers;
     silentSince = new Map();
     laggingLearners = new Set();
     changes = [];
+    requests = [];
     stopping = new AbortController();
     const replica = createLeader();
     formation = createFormation({
@@ -68,7 +67,10 @@
         self: SELF,
         replica: () => replica,
         peers: {
-            call: () => Promise.reject(new Error("No instance is called.")),
+            call: (name, kind) => {
+                requests.push({ name, kind });
+                return Promise.resolve({ members: [] });
+            },
             maintainConnections: () => undefined,
             connected: () => members.map(({ name }) => name).filter(name => silenceOf(name) < SILENT_CONNECTION_MS),
             close: () => Promise.resolve(),
@@ -82,8 +84,10 @@
 
 After(() => stopping.abort());
 
-Given("a leader of 5 voters and no learner", () => start([]));
-Given("a leader of 5 voters and the learner {string}", (name: string) => start([name]));
+const voters = VOTERS.map(name => ({ name, isVoter: true }));
+Given("a leader of 5 voters and no learner", () => start(voters));
+Given("a leader of 5 voters and the learner {string}", (name: string) => start([...voters, { name, isVoter: false }]));
+Given("a replica that is not a member", () => start([]));
 Given("the learner {string} has not caught up", (name: string) => laggingLearners.add(name));
 
 When("the learner {string} has caught up", (name: string) => laggingLearners.delete(name));
@@ -91,6 +95,11 @@
     members = [...members, { name, isVoter: false }];
 });
 When(/^the (?:voter|learner) "(.)" is silent$/, (name: string) => silentSince.set(name, clock.monotonicMilliseconds()));
+When("the voter {string} is about to stop", (name: string) => formation.handleLeave(name));
+When("it is about to stop", async () => {
+    requests = [];
+    await formation.leave();
+});
 When("{int} ms pass", (milliseconds: number) => clock.advance(milliseconds));
 
 Then("after {int} ms the changes are {string}", async (milliseconds: number, expected: string) => {
@@ -101,3 +110,17 @@
     await clock.advance(milliseconds);
     assert.deepEqual(changes, []);
 });
+
+const listReceivers = (kind: string) =>
+    [...new Set(requests.filter(request => request.kind === kind).map(({ name }) => name))].join(", ");
+Then("after {int} ms it has asked {string} to join", async (milliseconds: number, expected: string) => {
+    await clock.advance(milliseconds);
+    assert.equal(listReceivers(JOIN_REQUEST_KIND), expected);
+});
+Then("it has asked {string} to be replaced", (expected: string) => {
+    assert.equal(listReceivers(LEAVE_REQUEST_KIND), expected);
+});
+Then("after {int} ms it has asked none to join", async (milliseconds: number) => {
+    await clock.advance(milliseconds);
+    assert.equal(listReceivers(JOIN_REQUEST_KIND), "");
+});
--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -25,10 +25,13 @@
  * only paused becomes a learner, so that no voter is missing either way.
  */
 const REPLACED_VOTER_TIMEOUT_MS = 1_000;
-/** A joining instance repeats its request every round. Requests expire after this time, in milliseconds. */
-const JOIN_REQUEST_LIFETIME_MS = 2_000;
-/** Deadline of a join request, in milliseconds. */
-const JOIN_DEADLINE_MS = 500;
+/**
+ * Time after which requests to join or leave expire, in milliseconds. A joining instance repeats its request every
+ * round, and one that has left is silent by then.
+ */
+const REQUEST_LIFETIME_MS = 2_000;
+/** Deadline of a request to join or leave, in milliseconds. */
+const REQUEST_DEADLINE_MS = 500;
 
 /**
  * Time for which a new leader expects further instances to ask to join, in milliseconds. The instances start together,
@@ -43,11 +46,22 @@
 
 /** Kind of the peer request with which an instance asks to join the group. */
 export const JOIN_REQUEST_KIND = "formation.join";
+/** Kind of the peer request with which an instance that stops asks to be replaced. */
+export const LEAVE_REQUEST_KIND = "formation.leave";
 
 /** Membership maintenance on one control instance. */
 export type Formation = {
     /** Handles a join request of the named instance. Returns the known leader and members. */
     handleJoin(name: string): { readonly leader: string | undefined; readonly members: readonly string[] };
+    /** Handles the notice that the named instance is about to stop. */
+    handleLeave(name: string): void;
+    /**
+     * Asks the other instances to let a learner that has caught up take the place of this one, which is about to stop,
+     * and no longer joins the group. Without such a learner this instance stays a voter until it is back.
+     *
+     * @returns The names of the instances that have received the request.
+     */
+    leave(): Promise<readonly string[]>;
     /**
      * Returns true on the leader of a group that is still being formed: more voters are needed, and instances that can
      * become voters are known or expected. A change that is stored meanwhile would be lost with fewer disks than the
@@ -80,6 +94,9 @@
 export function createFormation(options: FormationOptions): Formation {
     const { clock, self, peers } = options;
     const joinRequests = new Map<string, number>();
+    /** Monotonic time of the latest notice of each instance that it is about to stop, in milliseconds. */
+    const leaveRequests = new Map<string, number>();
+    let isLeaving = false;
     let reportedMembers: readonly string[] = [];
     /** Members when this instance last had a leader. It stays connected to them while its storage is not open. */
     let knownMembers: readonly string[] = [];
@@ -92,21 +109,27 @@
     const findJoiner = (members: ReplicaStatus["members"]) => {
         const now = clock.monotonicMilliseconds();
         const isKnown = (name: string) => members.some(member => member.name === name);
-        return [...joinRequests].find(([name, at]) => !isKnown(name) && now - at < JOIN_REQUEST_LIFETIME_MS)?.[0];
+        return [...joinRequests].find(([name, at]) => !isKnown(name) && now - at < REQUEST_LIFETIME_MS)?.[0];
     };
+    const isAboutToStop = ({ name }: Member) =>
+        name !== self
+        && clock.monotonicMilliseconds() - (leaveRequests.get(name) ?? -Infinity) < REQUEST_LIFETIME_MS;
     /** Milliseconds for which another member has not responded to this leader. */
     const silenceOf = (replica: Replica, { name }: Member) => replica.silentForMilliseconds(name) ?? 0;
-    /** Returns the learner that responds and lacks the fewest entries. */
+    const isReplaceable = (replica: Replica, member: Member) =>
+        isAboutToStop(member) || silenceOf(replica, member) >= REPLACED_VOTER_TIMEOUT_MS;
+    /** Returns the learner that stays, responds and lacks the fewest entries. */
     const findLearner = (replica: Replica) => {
         const { members, matchIndex } = replica.status();
         return members
-            .filter(member => !member.isVoter && silenceOf(replica, member) < REPLACED_VOTER_TIMEOUT_MS)
+            .filter(member => !member.isVoter && !isReplaceable(replica, member))
             .sort((a, b) => (matchIndex[b.name] ?? 0) - (matchIndex[a.name] ?? 0))[0];
     };
-    /** Returns the voter that has been silent for longest, if it may be replaced. */
-    const findLostVoter = (replica: Replica, voters: readonly Member[]) =>
-        voters.filter(voter => silenceOf(replica, voter) >= REPLACED_VOTER_TIMEOUT_MS)
-            .sort((a, b) => silenceOf(replica, b) - silenceOf(replica, a))[0];
+    /** Returns the voter to replace: one that is about to stop, otherwise the one that has been silent for longest. */
+    const findLostVoter = (replica: Replica, voters: readonly Member[]) => {
+        const lost = voters.filter(voter => isReplaceable(replica, voter));
+        return lost.find(isAboutToStop) ?? lost.sort((a, b) => silenceOf(replica, b) - silenceOf(replica, a))[0];
+    };
 
     /** Returns the next membership change for the leader to make, or `undefined` when none is needed. */
     const findChange = (replica: Replica): MembershipRequest | undefined => {
@@ -115,8 +138,9 @@
         const surplus = voters.length - options.voterCount;
         const lostVoter = findLostVoter(replica, voters);
         // One voter too many is the successor of the lost one, so that none is missing after the removal.
-        const removalTimeout = surplus === 1 ? REPLACED_VOTER_TIMEOUT_MS : MEMBER_TIMEOUT_MS;
-        if (lostVoter !== undefined && surplus > 0 && silenceOf(replica, lostVoter) >= removalTimeout) {
+        const isRemovable = lostVoter !== undefined
+            && (surplus === 1 || (surplus > 1 && silenceOf(replica, lostVoter) >= MEMBER_TIMEOUT_MS));
+        if (isRemovable) {
             return { kind: MembershipChange.Remove, name: lostVoter.name };
         }
         const joiner = findJoiner(members);
@@ -154,7 +178,7 @@
         await Promise.all(
             listContacts(status).map(async name => {
                 // A contact that does not reply is called again in the next round. The client counts failed dials.
-                const reply = await peers.call(name, JOIN_REQUEST_KIND, {}, JOIN_DEADLINE_MS).catch(() => undefined);
+                const reply = await peers.call(name, JOIN_REQUEST_KIND, {}, REQUEST_DEADLINE_MS).catch(() => undefined);
                 const { members } = (reply ?? { members: [] }) as { readonly members: readonly string[] };
                 if (members.length > 0) {
                     reportedMembers = members;
@@ -171,6 +195,9 @@
         if (replica === undefined || status === undefined) {
             return;
         }
+        if (isLeaving) {
+            return;
+        }
         const isMember = listMembers(status).includes(self);
         if (!isMember || replica.leaderlessForMilliseconds() > LEADERLESS_TIMEOUT_MS) {
             await requestToJoin(status);
@@ -181,7 +208,19 @@
     };
 
     return {
+        handleLeave: name => void leaveRequests.set(name, clock.monotonicMilliseconds()),
+        leave: async () => {
+            isLeaving = true;
+            const contacts = listContacts(options.replica()?.status());
+            const replies = await Promise.all(
+                contacts.map(name =>
+                    peers.call(name, LEAVE_REQUEST_KIND, {}, REQUEST_DEADLINE_MS).then(() => name, () => undefined)
+                ),
+            );
+            return replies.filter(name => name !== undefined);
+        },
         handleJoin: name => {
+            leaveRequests.delete(name);
             joinRequests.set(name, clock.monotonicMilliseconds());
             const status = options.replica()?.status();
             return { leader: status?.leader, members: listMembers(status) };
--- a/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
@@ -8,7 +8,7 @@
 import { join } from "node:path";
 import type { Item } from "../../catalog/items.js";
 import { EventLevel, type EventLog } from "../../event-log/event-log.js";
-import { createFormation, JOIN_REQUEST_KIND } from "../../formation/formation.js";
+import { createFormation, JOIN_REQUEST_KIND, LEAVE_REQUEST_KIND } from "../../formation/formation.js";
 import type { MemberPeers } from "../../formation/member-peers.js";
 import { type CatalogGroup, createCatalogGroup } from "../catalog-group.js";
 import { ControlRequestKind, GATEWAY_CLUSTER_ID, proposeRequestSchema } from "../messages.js";
@@ -34,7 +34,10 @@
     readonly countAbortListeners: () => number;
     /** Names to which this instance maintained connections last. */
     readonly contacts: () => readonly string[];
+    /** Ends the instance as a kill does. */
     readonly stop: () => Promise<void>;
+    /** Ends the instance as a planned stop does: it hands over the leadership and asks to be replaced. */
+    readonly leave: () => Promise<void>;
 };
 
 /** Group of instances. */
@@ -136,11 +139,19 @@
                     return catalog.proposeLocally(proposeRequestSchema.parse(payload).command);
                 case JOIN_REQUEST_KIND:
                     return formation.handleJoin(from);
+                case LEAVE_REQUEST_KIND:
+                    return formation.handleLeave(from);
                 default:
                     throw new Error(`The request ${kind} is not known.`);
             }
         });
         const tasks = [catalog.run(stopping.signal), formation.run(stopping.signal)];
+        const kill = async () => {
+            handlers.delete(name);
+            instances.delete(name);
+            stopping.abort();
+            await Promise.all(tasks);
+        };
         const instance: Instance = {
             name,
             folder: join(folder, name),
@@ -150,11 +161,11 @@
             observed,
             countAbortListeners: () => getEventListeners(stopping.signal, "abort").length,
             contacts: () => contacts,
-            stop: async () => {
-                handlers.delete(name);
-                instances.delete(name);
-                stopping.abort();
-                await Promise.all(tasks);
+            stop: kill,
+            leave: async () => {
+                await catalog.replica()?.transferLeadership();
+                await formation.leave();
+                await kill();
             },
         };
         instances.set(name, instance);
--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
@@ -41,3 +41,16 @@
     And a leader falls silent for good and an instance with an empty disk is added
     And 4000 ms later the leader and the voter with the most entries lose their disks while all instances are killed
     Then the change is read and further ones are acknowledged
+
+  # Guards against an instance that was stopped as planned, but still counts when its successor should.
+  Scenario Outline: Two disks are lost 4 s after the start of an instance that replaces a stopped <role>
+    Given 5 instances that start for the first time
+    And all of them are voters
+    When an instance with an empty disk is added and a <role> is stopped 3000 ms later
+    And 1000 ms later the leader and the voter with the most entries lose their disks while all instances are killed
+    Then the change is read and further ones are acknowledged
+
+    Examples:
+      | role     |
+      | leader   |
+      | follower |
--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
@@ -39,6 +39,7 @@
     electedAt = clock.monotonicMilliseconds();
     await acknowledged;
 });
+const addInstance = () => cluster.start(`control-${cluster.instances.size + 1}`, false);
 Given("all of them are voters", async () => {
     await waitForVoters(cluster, names => names.length === cluster.instances.size);
 });
@@ -46,9 +47,18 @@
     await operator.change();
     const instance = await findInstance(cluster, role);
     cluster.silence(instance.name);
-    cluster.start(`control-${cluster.instances.size + 1}`, false);
+    addInstance();
     silent.push(instance);
 });
+When(
+    "an instance with an empty disk is added and a {word} is stopped {int} ms later",
+    async (role: string, milliseconds: number) => {
+        const instance = await findInstance(cluster, role);
+        addInstance();
+        await clock.sleep(milliseconds);
+        await instance.leave();
+    },
+);
 When("{int} ms pass", (milliseconds: number) => clock.sleep(milliseconds));
 
 const loseDisks = async () => {
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -27,7 +27,7 @@
 import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
 import { createChangeFeed, feedValuesRequestSchema } from "../feed/change-feed.js";
 import { createFeedServer } from "../feed/serve-feed.js";
-import { createFormation, JOIN_REQUEST_KIND } from "../formation/formation.js";
+import { createFormation, JOIN_REQUEST_KIND, LEAVE_REQUEST_KIND } from "../formation/formation.js";
 import { createMemberPeers, memberName } from "../formation/member-peers.js";
 import {
     type BackendAnnouncement,
@@ -128,7 +128,10 @@
     findEntries(host: string, callerRegion: string): readonly EntryReport[];
     /** Returns the names of the voters that this instance knows. */
     voters(): readonly string[];
-    /** Transfers the leadership if it is held here, and stops. Calls in progress reject after 1 s, outcome unknown. */
+    /**
+     * Transfers the leadership if it is held here, gives up its place in the group if a successor has caught up, and
+     * stops. Calls in progress reject after 1 s, outcome unknown.
+     */
     stop(): Promise<void>;
 };
 
@@ -323,6 +326,11 @@
             },
             [ControlRequestKind.LeaseTokens]: async (_from, payload) => leaseTokens(payload),
             [JOIN_REQUEST_KIND]: async from => formation.handleJoin(from.name),
+            [LEAVE_REQUEST_KIND]: async from => {
+                log(EventLevel.Info, "control instance leaves", { peer: from.name });
+                formation.handleLeave(from.name);
+                return {};
+            },
         }),
     });
 
@@ -389,6 +397,8 @@
         stop: async () => {
             await catalog.replica()?.transferLeadership();
             await waitUntilEnded(STOP_CALLS_MS);
+            // Afterwards, because an instance that is no longer a member cannot complete reads.
+            log(EventLevel.Info, "leaving the control group", { receivedBy: await formation.leave() });
             stopping.abort(new Error("The control instance stops."));
             await Promise.all(tasks);
             await Promise.all([listener.close(), peers.close()]);
