Submit a long change of the configuration in parts

Nothing said that it was too long.

Cause: the whole change was one command of the log. With each route in its decoded form and as sent it took over 1 MiB, the limit of a proposal and a quarter of the limit of a frame, and the refusal was answered like an unreachable leader. A longer limit alone would only have moved the fault, up to the frame, and one long entry holds up the heartbeats behind it.

A change is now divided into parts of 128 KiB, which the state machine keeps until all are there, and then checks and applies as one change. The parts are named after their content, so that a change which is sent again, to any instance, continues with the parts that are missing. Parts of changes that were given up are dropped after eight others.

--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -6,11 +6,14 @@
 import { type ClientAccount, findSharedKeyHash } from "../client-accounts/client-account.js";
 import { createDepartures, type Departure } from "./departures.js";
 import { type Item, itemKey, ItemKind } from "./items.js";
+import { type ChangePart, createStagedChanges } from "./staged-changes.js";
 
 /** Kinds of commands that the log replicates. */
 export enum CommandKind {
     /** Sets and deletes items with the given versions. */
     Change = "change",
+    /** Adds a part of a change, which takes effect as `Change` once all of its parts are there. */
+    ChangePart = "change-part",
     /** Sets whether an availability zone is evacuated. The version of the item is the log index of the command. */
     Evacuate = "evacuate",
     /** Records the departure of a backend server. */
@@ -20,6 +23,7 @@
 /** Command of the replicated log. */
 export type CatalogCommand =
     | { readonly kind: CommandKind.Change; readonly items: readonly Item[] }
+    | { readonly kind: CommandKind.ChangePart } & ChangePart
     | {
         readonly kind: CommandKind.Evacuate;
         readonly availabilityZone: string;
@@ -41,6 +45,8 @@
     readonly error: string | undefined;
     /** True when the command had no effect, because its item has changed since its sender read it. */
     readonly isSuperseded?: boolean;
+    /** True when the command was a part of a change that is not complete yet. */
+    readonly isIncomplete?: boolean;
 };
 
 /** State machine of the catalog. */
@@ -53,9 +59,11 @@
     find(kind: ItemKind, name: string): Item | undefined;
     /** Returns the latest departures, the oldest first. */
     departures(): readonly Departure[];
-    /** Encodes all items and departures. */
+    /** Returns the numbers of the parts that are there of a change that is not complete. */
+    findStagedParts(changeId: string): ReadonlySet<number>;
+    /** Encodes all items, departures and parts of changes. */
     takeSnapshot(): Uint8Array;
-    /** Replaces all items and departures by those of a snapshot. */
+    /** Replaces all items, departures and parts of changes by those of a snapshot. */
     restoreSnapshot(payload: Uint8Array): void;
 };
 
@@ -66,9 +74,14 @@
 
 const ACCEPTED: CommandResult = { error: undefined };
 const SUPERSEDED: CommandResult = { error: undefined, isSuperseded: true };
+const INCOMPLETE: CommandResult = { error: undefined, isIncomplete: true };
 
-/** Snapshots of earlier releases are a list of the items. */
-type Snapshot = { readonly items: readonly Item[]; readonly departures: readonly Departure[] };
+/** Snapshots of earlier releases have no parts of changes, or are a list of the items. */
+type Snapshot = {
+    readonly items: readonly Item[];
+    readonly departures: readonly Departure[];
+    readonly stagedParts?: readonly ChangePart[];
+};
 
 const decodeSnapshot = (payload: Uint8Array): Snapshot => {
     const snapshot = decode(payload) as Snapshot | readonly Item[];
@@ -88,6 +101,7 @@
 export function createCatalogState({ onItems, onDepartures }: CatalogObserver): CatalogState {
     let items = new Map<string, Item>();
     let departures = createDepartures([]);
+    let stagedChanges = createStagedChanges([]);
 
     /** A lower or equal version is ignored regardless of its content, so the first content of a version is final. */
     const isNewer = (item: Item) => item.version > (items.get(itemKey(item.kind, item.name))?.version ?? -Infinity);
@@ -136,6 +150,11 @@
         return ACCEPTED;
     };
 
+    const applyPart = (part: ChangePart): CommandResult => {
+        const items = stagedChanges.add(part);
+        return items === undefined ? INCOMPLETE : applyChange(items);
+    };
+
     const applyEvacuation = (
         index: number,
         { availabilityZone, isActive, expectedVersion }: Extract<CatalogCommand, { kind: CommandKind.Evacuate }>,
@@ -166,6 +185,8 @@
             switch (command.kind) {
                 case CommandKind.Change:
                     return applyChange(command.items);
+                case CommandKind.ChangePart:
+                    return applyPart(command);
                 case CommandKind.Evacuate:
                     return applyEvacuation(index, command);
                 case CommandKind.Depart:
@@ -175,14 +196,20 @@
         items: () => [...items.values()],
         find: (kind, name) => items.get(itemKey(kind, name)),
         departures: () => departures.list(),
+        findStagedParts: changeId => stagedChanges.findParts(changeId),
         takeSnapshot: () => {
-            const snapshot: Snapshot = { items: [...items.values()], departures: departures.list() };
+            const snapshot: Snapshot = {
+                items: [...items.values()],
+                departures: departures.list(),
+                stagedParts: stagedChanges.list(),
+            };
             return encode(snapshot);
         },
         restoreSnapshot: payload => {
             const restored = decodeSnapshot(payload);
             items = new Map(restored.items.map(item => [itemKey(item.kind, item.name), item]));
             departures = createDepartures(restored.departures);
+            stagedChanges = createStagedChanges(restored.stagedParts ?? []);
             onItems(restored.items);
             onDepartures(restored.departures);
         },
--- a/packages/hyssopfront/src/catalog/catalog.feature
+++ b/packages/hyssopfront/src/catalog/catalog.feature
@@ -63,3 +63,32 @@
     When route orders at version 9 routes to stoc with a timeout of 900 ms
     And the catalog is restored from a snapshot of an earlier release
     Then route orders has a timeout of 900 ms
+
+  # Guards against a change that is in force in part: a long change takes several commands.
+  Scenario: A change in parts takes effect once all parts are there, in any order
+    Given a catalog with service s1 at version 1
+    When part 2 of 3 of change c1 routes r2 to s1
+    And part 0 of 3 of change c1 routes r0 to s1
+    And part 0 of 3 of change c1 routes r0 to s1
+    Then the change is incomplete
+    And there is no route r0
+    When the catalog is restored from its snapshot
+    And part 1 of 3 of change c1 routes r1 to s1
+    Then the change was accepted
+    And routes "r0, r1, r2" exist
+
+  Scenario: A change in parts with an unknown service is rejected as a whole
+    Given a catalog with service s1 at version 1
+    When part 0 of 2 of change c1 routes r0 to s1
+    And part 1 of 2 of change c1 routes r1 to s2
+    Then the change was rejected
+    And routes "" exist
+
+  # Guards against parts of changes that were given up and are kept for ever.
+  Scenario: A change that was given up is dropped after eight others
+    Given a catalog with service s1 at version 1
+    When part 0 of 2 of change c1 routes r0 to s1
+    And part 0 of 2 of 8 other changes follow
+    And part 1 of 2 of change c1 routes r1 to s1
+    Then the change is incomplete
+    And routes "" exist
--- a/packages/hyssopfront/src/catalog/catalog.steps.ts
+++ b/packages/hyssopfront/src/catalog/catalog.steps.ts
@@ -81,6 +81,21 @@
             routeItem(second, version, routeTo(unknownService, 100)),
         ),
 );
+const submitPart = (part: number, partCount: number, changeId: string, ...items: readonly Item[]) => {
+    commandResult = state.apply(++index, { kind: CommandKind.ChangePart, changeId, part, partCount, items });
+};
+When(
+    "part {int} of {int} of change {word} routes {word} to {word}",
+    (part: number, partCount: number, changeId: string, name: string, service: string) =>
+        submitPart(part, partCount, changeId, routeItem(name, 1, routeTo(service, 100))),
+);
+When(
+    "part {int} of {int} of {int} other changes follow",
+    (part: number, partCount: number, count: number) =>
+        Array.from({ length: count }, (_, number) => `other-${number}`).forEach(changeId =>
+            submitPart(part, partCount, changeId)
+        ),
+);
 When("availability zone {word} is evacuated", (availabilityZone: string) => {
     commandResult = state.apply(++index, { kind: CommandKind.Evacuate, availabilityZone, isActive: true });
 });
@@ -113,7 +128,12 @@
     assert.equal(state.departures().length, count);
     assert.ok(!state.departures().some(departure => departure.id === id));
 });
-Then("the change was accepted", () => assert.equal(commandResult.error, undefined));
+Then("the change was accepted", () => assert.deepEqual(commandResult, { error: undefined }));
+Then("the change is incomplete", () => assert.equal(commandResult.isIncomplete, true));
+Then("routes {string} exist", (expected: string) => {
+    const routes = state.items().filter(({ kind }) => kind === ItemKind.Route).map(({ name }) => name);
+    assert.equal(routes.join(", "), expected);
+});
 Then("the change was rejected", () => assert.notEqual(commandResult.error, undefined));
 Then("route {word} has a timeout of {int} ms", (name: string, timeout: number) => {
     const value = find(ItemKind.Route, name);
--- a/packages/hyssopfront/src/gateway-control/catalog-group.ts
+++ b/packages/hyssopfront/src/gateway-control/catalog-group.ts
@@ -64,6 +64,8 @@
     items(): readonly Item[];
     /** Returns one item in the same way, or undefined if it is unknown. */
     find(kind: ItemKind, name: string): Item | undefined;
+    /** Returns the numbers of the parts that this instance has applied of a change that is not complete. */
+    findStagedParts(changeId: string): ReadonlySet<number>;
     /** Handles a consensus message of another instance. Rejects with NotLeaderError while the storage is not open. */
     handleConsensus(from: string, payload: unknown): Promise<ConsensusReply>;
     /** Proposes an encoded command on this instance. Rejects with NotLeaderError when it is not the leader. */
@@ -291,8 +293,8 @@
         }
         const deadline = Math.min(LEADER_REPLY_DEADLINE_MS, deadlineMilliseconds);
         const reply = await options.peers.call(leader, ControlRequestKind.Propose, { command }, deadline);
-        const { error, isSuperseded } = proposeReplySchema.parse(reply);
-        return { error, isSuperseded };
+        const { error, isSuperseded, isIncomplete } = proposeReplySchema.parse(reply);
+        return { error, isSuperseded, isIncomplete };
     };
 
     const retryUntil = async <T>(
@@ -321,6 +323,7 @@
         replica: () => open?.replica,
         items: () => latest?.state.items() ?? [],
         find: (kind, name) => latest?.state.find(kind, name),
+        findStagedParts: changeId => latest?.state.findStagedParts(changeId) ?? new Set(),
         handleConsensus: (from, payload) => requireReplica().handle(from, parseConsensusRequest(payload)),
         proposeLocally: command => proposeOnReplica(command, LEADER_REPLY_DEADLINE_MS),
         submit: (command, deadlineMilliseconds) => {
--- a/packages/hyssopfront/src/gateway-control/messages.ts
+++ b/packages/hyssopfront/src/gateway-control/messages.ts
@@ -51,7 +51,11 @@
 /** Encoded catalog command. */
 export const proposeRequestSchema = z.object({ command: z.instanceof(Uint8Array) });
 /** Result of a catalog command. Without `error`, the command was accepted. */
-export const proposeReplySchema = z.object({ error: z.string().optional(), isSuperseded: z.boolean().optional() });
+export const proposeReplySchema = z.object({
+    error: z.string().optional(),
+    isSuperseded: z.boolean().optional(),
+    isIncomplete: z.boolean().optional(),
+});
 /** Read of a feed, with the current state of the entry that reads it. */
 export const readFeedRequestSchema = z.object({ entry: entryReportSchema, read: feedReadRequestSchema });
 
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -50,6 +50,7 @@
     readFeedRequestSchema,
 } from "./messages.js";
 import { createRecordReplication } from "./record-replication.js";
+import { submitChange } from "./submit-change.js";
 
 /** Role that a control instance sends in the handshake with its peers. */
 const CONTROL_ROLE = "gateway-control";
@@ -109,6 +110,7 @@
      * Changes items of the catalog.
      *
      * @returns The reason why the change is invalid, or `undefined` when it is accepted.
+     * @throws ItemTooLargeError when an item is too large to be stored.
      * @throws CatalogUnavailableError when the outcome is unknown at the deadline.
      */
     changeItems(items: readonly Item[], deadlineMilliseconds: number): Promise<string | undefined>;
@@ -375,8 +377,8 @@
             ]);
             return isReplicated && isStored;
         }),
-        changeItems: rejectAtStop(async (items: readonly Item[], deadlineMilliseconds: number) =>
-            (await catalog.submit({ kind: CommandKind.Change, items }, deadlineMilliseconds)).error
+        changeItems: rejectAtStop((items: readonly Item[], deadlineMilliseconds: number) =>
+            submitChange({ clock, catalog }, items, deadlineMilliseconds)
         ),
         setEvacuation: rejectAtStop((order: EvacuationOrder, deadlineMilliseconds: number) =>
             submitEvacuation({ clock, catalog }, order, deadlineMilliseconds)
