List each home region of a host once

Lookups at a control instance waited for over a second after a change of 10,000 routes: the index of home regions copied its list for each route of a host, and then held a region once for each route.

"The index of a host with many routes lists each home region once" failed before.

--- a/packages/hyssopfront/src/entry-selection/entry-selection.feature
+++ b/packages/hyssopfront/src/entry-selection/entry-selection.feature
@@ -32,3 +32,7 @@
     And entry c is not ready
     Then a caller in muntenia for a host restricted to muntenia gets b
     And a caller in muntenia for an unrestricted host gets b and a
+
+  # Guards against lookups that wait for an index of thousands of routes: it took a second for 10,000 of one host.
+  Scenario: The index of a host with many routes lists each home region once
+    Then 10000 routes of one host have the home region "muntenia"
--- a/packages/hyssopfront/src/entry-selection/entry-selection.steps.ts
+++ b/packages/hyssopfront/src/entry-selection/entry-selection.steps.ts
@@ -88,3 +88,7 @@
     (region: string, one: string, other: string) =>
         assert.deepEqual(selectNames(region, "restricted.example"), [one, other]),
 );
+Then("{int} routes of one host have the home region {string}", (count: number, region: string) => {
+    const routes = Array.from({ length: count }, () => RESTRICTED_ROUTE);
+    assert.deepEqual(createHomeRegionIndex(() => routes).find("restricted.example"), [region]);
+});
--- a/packages/hyssopfront/src/entry-selection/home-regions.ts
+++ b/packages/hyssopfront/src/entry-selection/home-regions.ts
@@ -5,7 +5,7 @@
 
 /** Home regions by host. */
 export type HomeRegionIndex = {
-    /** Returns the regions that routes of the host are restricted to, or an empty array when none is restricted. */
+    /** Returns each region that routes of the host are restricted to, or an empty array when none is restricted. */
     find(host: string): readonly string[];
     /** Discards the index, so that the next `find` rebuilds it from the items. */
     invalidate(): void;
@@ -15,14 +15,17 @@
 export function createHomeRegionIndex(items: () => readonly Item[]): HomeRegionIndex {
     let byHost: Map<string, readonly string[]> | undefined;
     const buildIndex = () => {
-        const indexed = new Map<string, readonly string[]>();
+        // Sets, because thousands of routes of one host have the same few regions.
+        const indexed = new Map<string, Set<string>>();
         items().forEach(({ value }) => {
             if (value?.kind === ItemKind.Route && value.route.homeRegions.length > 0) {
                 const { host, homeRegions } = value.route;
-                indexed.set(host, [...indexed.get(host) ?? [], ...homeRegions]);
+                const regions = indexed.get(host) ?? new Set();
+                homeRegions.forEach(region => regions.add(region));
+                indexed.set(host, regions);
             }
         });
-        return indexed;
+        return new Map([...indexed].map(([host, regions]) => [host, [...regions]]));
     };
     return {
         find: host => {
