--- a/packages/hyssopfront/src/gateway/body-memory.ts
+++ b/packages/hyssopfront/src/gateway/body-memory.ts
@@ -46,6 +46,8 @@
 /** Memory for the buffered bodies of an entry. */
 export type BodyMemory = {
     createReservation(): BodyMemoryReservation;
+    /** Bytes that all requests together can reserve. */
+    readonly maximumBytes: number;
     /** Bytes that are reserved now. */
     readonly reservedBytes: number;
 };
@@ -70,6 +72,7 @@
     let reservedBytes = 0;
     let streams = 0;
     return {
+        maximumBytes,
         createReservation: () => {
             let ownBytes = 0;
             let ownStreams = 0;
