Serve other calls during a long change of the configuration

A control instance only counts as complete once it has passed on what its catalog has. JSON is checked without copies of each level.

--- a/packages/hyssopfront/src/catalog/catalog-state.ts
+++ b/packages/hyssopfront/src/catalog/catalog-state.ts
@@ -69,8 +69,17 @@
 
 /** Encodes a command for the log. */
 export const encodeCommand = (command: CatalogCommand): Uint8Array => encode(command);
+/** Items of earlier releases have a decoded source. */
+const upgradeItem = (item: Item): Item => {
+    const source: unknown = item.source;
+    return source === undefined || typeof source === "string" ? item : { ...item, source: JSON.stringify(source) };
+};
+
 /** Decodes a command that `encodeCommand` has encoded. */
-export const decodeCommand = (payload: Uint8Array): CatalogCommand => decode(payload) as CatalogCommand;
+export const decodeCommand = (payload: Uint8Array): CatalogCommand => {
+    const command = decode(payload) as CatalogCommand;
+    return "items" in command ? { ...command, items: command.items.map(upgradeItem) } : command;
+};
 
 const ACCEPTED: CommandResult = { error: undefined };
 const SUPERSEDED: CommandResult = { error: undefined, isSuperseded: true };
@@ -84,8 +93,9 @@
 };
 
 const decodeSnapshot = (payload: Uint8Array): Snapshot => {
-    const snapshot = decode(payload) as Snapshot | readonly Item[];
-    return "items" in snapshot ? snapshot : { items: snapshot, departures: [] };
+    const decoded = decode(payload) as Snapshot | readonly Item[];
+    const snapshot = "items" in decoded ? decoded : { items: decoded, departures: [] };
+    return { ...snapshot, items: snapshot.items.map(upgradeItem) };
 };
 
 /** Called with what a command or a snapshot has changed. */
@@ -114,10 +124,13 @@
     };
 
     const findUnknownService = (changed: readonly Item[]) => {
-        const after = new Map([...items, ...changed.map(item => [itemKey(item.kind, item.name), item] as const)]);
+        const changedServices = new Map(
+            changed.filter(({ kind }) => kind === ItemKind.Service).map(item => [item.name, item]),
+        );
+        const findService = (name: string) => changedServices.get(name) ?? items.get(itemKey(ItemKind.Service, name));
         return changed
             .flatMap(({ value }) => value?.kind === ItemKind.Route ? value.route.services : [])
-            .find(({ service }) => after.get(itemKey(ItemKind.Service, service))?.value === undefined)?.service;
+            .find(({ service }) => findService(service)?.value === undefined)?.service;
     };
 
     /** Returns the accounts after a change that sets some of them, or none if the change sets no account. */
--- a/packages/hyssopfront/src/catalog/catalog.feature
+++ b/packages/hyssopfront/src/catalog/catalog.feature
@@ -64,6 +64,13 @@
     And the catalog is restored from a snapshot of an earlier release
     Then route orders has a timeout of 900 ms
 
+  # Guards against items that cannot be read back after an upgrade: earlier releases stored their source decoded.
+  Scenario: Items of an earlier release keep their source
+    When a command of an earlier release sets route orders with the source {"a":[1]}
+    Then the source of route orders is {"a":[1]}
+    When the catalog is restored from a snapshot with such a route
+    Then the source of route orders is {"a":[1]}
+
   # Guards against a change that is in force in part: a long change takes several commands.
   Scenario: A change in parts takes effect once all parts are there, in any order
     Given a catalog with service s1 at version 1
--- a/packages/hyssopfront/src/catalog/catalog.steps.ts
+++ b/packages/hyssopfront/src/catalog/catalog.steps.ts
@@ -6,6 +6,7 @@
     CommandKind,
     type CommandResult,
     createCatalogState,
+    decodeCommand,
     NO_CATALOG_OBSERVER,
 } from "./catalog-state.js";
 import type { Departure } from "./departures.js";
@@ -15,6 +16,7 @@
 let commandResult: CommandResult;
 let index = 0;
 let restoredDepartures: Departure[];
+let decodedItem: unknown;
 
 const routeTo = (service: string, timeoutMilliseconds: number): Route => ({
     host: "orders.example",
@@ -113,6 +115,21 @@
     state = createCatalogState(NO_CATALOG_OBSERVER);
     state.restoreSnapshot(snapshot);
 });
+const createDecodedSource = (text: string) => ({
+    ...routeItem("orders", 1, routeTo("stoc", 100)),
+    source: JSON.parse(text) as unknown,
+});
+When("a command of an earlier release sets route orders with the source {}", (text: string) => {
+    decodedItem = createDecodedSource(text);
+    commandResult = state.apply(++index, decodeCommand(encode({ kind: CommandKind.Change, items: [decodedItem] })));
+});
+When("the catalog is restored from a snapshot with such a route", () => {
+    state = createCatalogState(NO_CATALOG_OBSERVER);
+    state.restoreSnapshot(encode({ items: [decodedItem], departures: [] }));
+});
+Then("the source of route orders is {}", (text: string) => {
+    assert.equal(state.find(ItemKind.Route, "orders")?.source, text);
+});
 When("{word}, started at {int}, departs", (id: string, startedAt: number) => {
     commandResult = state.apply(++index, { kind: CommandKind.Depart, departure: { id, startedAt } });
 });
--- a/packages/hyssopfront/src/catalog/items.ts
+++ b/packages/hyssopfront/src/catalog/items.ts
@@ -77,8 +77,8 @@
     readonly name: string;
     readonly version: number;
     readonly value: ItemValue | undefined;
-    /** Item as sent by the operator, returned unchanged on reads. Undefined for deletions and evacuations. */
-    readonly source: unknown;
+    /** Item as sent by the operator, as JSON, returned on reads. Undefined for deletions and evacuations. */
+    readonly source: string | undefined;
 };
 
 /** Returns the key of an item, unique across all kinds. */
--- a/packages/hyssopfront/src/client-accounts/quotas/loopback.steps.ts
+++ b/packages/hyssopfront/src/client-accounts/quotas/loopback.steps.ts
@@ -164,7 +164,13 @@
             ["shop", account("shop", { requestsPerSecond, burst })],
             ["free", account("free", undefined)],
         ];
-        const items = values.map(([name, value]): Item => ({ kind: value.kind, name, version: 1, value, source: {} }));
+        const items = values.map(([name, value]): Item => ({
+            kind: value.kind,
+            name,
+            version: 1,
+            value,
+            source: "{}",
+        }));
         await waitUntil(async () => {
             const error = await control.changeItems(items, DEADLINE_MS).catch(String);
             return error === undefined;
--- a/packages/hyssopfront/src/gateway-control/catch-up.ts
+++ b/packages/hyssopfront/src/gateway-control/catch-up.ts
@@ -14,17 +14,20 @@
 
 /** Marks the feed as complete once the catalog is, and retries until then or until the signal aborts. */
 export async function catchUpWithCatalog(
-    { clock, log, catalog, feed }: {
+    { clock, log, catalog, feed, announced }: {
         readonly clock: Clock;
         readonly log: EventLog;
         readonly catalog: CatalogGroup;
         readonly feed: ChangeFeed;
+        /** Resolves once the feed has all items that the catalog has now. */
+        readonly announced: () => Promise<void>;
     },
     signal: AbortSignal,
 ): Promise<void> {
     while (!signal.aborted && !feed.isComplete) {
         try {
             await rejectOnAbort(signal, () => catalog.catchUp(CATCH_UP_DEADLINE_MS));
+            await rejectOnAbort(signal, announced);
             feed.markComplete();
             log(EventLevel.Info, "catalog complete", { items: catalog.items().length });
         }
--- a/packages/hyssopfront/src/gateway-control/control-process.ts
+++ b/packages/hyssopfront/src/gateway-control/control-process.ts
@@ -57,7 +57,7 @@
             coldRequestsPerSecond: 10,
         },
     },
-    source: {},
+    source: "{}",
 };
 const ROUTE: Item = {
     kind: ItemKind.Route,
@@ -78,7 +78,7 @@
             homeRegions: [],
         },
     },
-    source: {},
+    source: "{}",
 };
 
 const announce = (state: BackendServerState, sequence: number) =>
--- a/packages/hyssopfront/src/gateway-control/long-changes/long-changes.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/long-changes/long-changes.steps.ts
@@ -37,7 +37,7 @@
         kind: ItemKind.Service,
         policy: { healthPath: "/", maximumConnections: 1, coldStartMilliseconds: 0, coldRequestsPerSecond: Infinity },
     },
-    source: { name },
+    source: JSON.stringify({ name }),
 });
 const routeItem = (name: string, padding = ""): Item => {
     const route = {
@@ -53,7 +53,7 @@
         homeRegions: ["transilvania", "muntenia"],
     };
     // With the comment, an item is as long as that of a platform with the same route.
-    const source = { name, ...route, comment: "x".repeat(100) };
+    const source = JSON.stringify({ name, ...route, comment: "x".repeat(100) });
     return { kind: ItemKind.Route, name, version: 1, value: { kind: ItemKind.Route, route }, source };
 };
 const createChange = (count: number) => [
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -49,6 +49,7 @@
     proposeRequestSchema,
     readFeedRequestSchema,
 } from "./messages.js";
+import { createPacedQueue } from "./paced-queue.js";
 import { createRecordReplication } from "./record-replication.js";
 import { submitChange } from "./submit-change.js";
 
@@ -201,6 +202,11 @@
         },
     });
     const knownEntries = createKnownEntries(clock);
+    const changedItems = createPacedQueue<Item>(clock, item => {
+        const { kind, name, version } = item;
+        log(EventLevel.Info, "item changed", { kind, name, version, isDropped: item.value === undefined });
+        feed.set(FeedKey.Item + itemKey(kind, name), () => ({ ...item, source: undefined }), version);
+    });
     const catalog = createCatalogGroup({
         clock,
         counters,
@@ -215,11 +221,7 @@
         observer: {
             onItems: items => {
                 homeRegions.invalidate();
-                items.forEach(item => {
-                    const { kind, name, version } = item;
-                    log(EventLevel.Info, "item changed", { kind, name, version, isDropped: item.value === undefined });
-                    feed.set(FeedKey.Item + itemKey(kind, name), () => ({ ...item, source: undefined }), version);
-                });
+                changedItems.add(items);
             },
             onDepartures: departures =>
                 departures.forEach(({ id, startedAt }) => {
@@ -355,7 +357,7 @@
         formation.run(signal),
         replication.run(signal),
         expireRecords(),
-        catchUpWithCatalog({ clock, log, catalog, feed }, signal),
+        catchUpWithCatalog({ clock, log, catalog, feed, announced: changedItems.waitUntilHandled }, signal),
     ];
 
     const { rejectAtStop, waitUntilEnded } = createCallsInProgress(clock, signal);
--- a/packages/hyssopfront/src/http/parse-json.ts
+++ b/packages/hyssopfront/src/http/parse-json.ts
@@ -10,6 +10,18 @@
     override readonly name = "JsonError";
 }
 
+function checkValue(value: unknown, depth: number): void {
+    if (typeof value === "number" && !Number.isFinite(value)) {
+        throw new JsonError("A number is too large.");
+    }
+    if (value instanceof Object) {
+        if (depth >= MAXIMUM_JSON_NESTING) {
+            throw new JsonError(`Collections are nested more than ${MAXIMUM_JSON_NESTING} deep.`);
+        }
+        Object.values(value).forEach(inner => checkValue(inner, depth + 1));
+    }
+}
+
 /**
  * Parses a text.
  *
@@ -23,16 +35,6 @@
     catch (error) {
         throw new JsonError("The text is not JSON.", { cause: error });
     }
-    let level: readonly unknown[] = [parsed];
-    for (let depth = 0; level.length > 0; depth += 1) {
-        if (level.some(value => typeof value === "number" && !Number.isFinite(value))) {
-            throw new JsonError("A number is too large.");
-        }
-        const collections = level.filter(value => value instanceof Object);
-        if (collections.length > 0 && depth >= MAXIMUM_JSON_NESTING) {
-            throw new JsonError(`Collections are nested more than ${MAXIMUM_JSON_NESTING} deep.`);
-        }
-        level = collections.flatMap(collection => Object.values(collection) as unknown[]);
-    }
+    checkValue(parsed, 0);
     return parsed;
 }
--- a/packages/hyssopfront/src/slow-start/slow-start.steps.ts
+++ b/packages/hyssopfront/src/slow-start/slow-start.steps.ts
@@ -60,7 +60,7 @@
     assert.ok(check(), message);
 }
 
-const item = (value: ItemValue): Item => ({ kind: value.kind, name: SERVICE, version: 1, value, source: {} });
+const item = (value: ItemValue): Item => ({ kind: value.kind, name: SERVICE, version: 1, value, source: "{}" });
 
 async function declareService(coldRequestsPerSecond: number): Promise<void> {
     const policy = {
