--- a/packages/model/src/checks.ts
+++ b/packages/model/src/checks.ts
@@ -3,6 +3,7 @@
  */
 import type { Specification } from "./explorer/explore.js";
 import { type LeaseBounds, LeaseDefect, specifyLease } from "./lease/lease.js";
+import { ReplacementDefect, specifyReplacement } from "./replacement/replacement.js";
 import { type ReplicationBounds, ReplicationDefect } from "./replication/replication-state.js";
 import { specifyReplication } from "./replication/replication.js";
 import { RunOnceDefect, specifyRunOnce } from "./run-once/run-once.js";
@@ -56,6 +57,7 @@
     restarts: 1,
 };
 const RUN_ONCE_ATTEMPTS = 3;
+const REPLACEMENT_PROPOSALS = 1;
 
 const createCheck = <State>(
     name: string,
@@ -93,6 +95,13 @@
         false,
         true,
     ),
+    ...Object.values(ReplacementDefect).map(defect =>
+        createCheck(
+            `replacement of a voter: ${defect}`,
+            specifyReplacement(defect, REPLACEMENT_PROPOSALS),
+            defect !== ReplacementDefect.None,
+        )
+    ),
     ...Object.values(RunOnceDefect).map(defect =>
         createCheck(`run-once: ${defect}`, specifyRunOnce(RUN_ONCE_ATTEMPTS, defect), defect !== RunOnceDefect.None)
     ),
