--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -2,14 +2,7 @@
  * Control instance of the gateway, with the replicated catalog, the registry of backend servers and the change feed
  * that entries follow.
  */
-import {
-    type AddressWait,
-    type Clock,
-    type Counters,
-    listenForPeers,
-    type PeerIdentity,
-    routePeerRequests,
-} from "@hyssopfront/coordination";
+import { listenForPeers, type PeerIdentity, routePeerRequests } from "@hyssopfront/coordination";
 import { randomUUID } from "node:crypto";
 import { CommandKind } from "../catalog/catalog-state.js";
 import type { Departure } from "../catalog/departures.js";
@@ -18,13 +11,12 @@
 import { createQuotaLeaseHandler } from "../client-accounts/quotas/serve-quota-leases.js";
 import {
     createConnectedEntries,
-    type EntryReport,
     entryReportSchema,
     rankSlowStartEntries,
     selectEntriesForCaller,
 } from "../entry-selection/connected-entries.js";
 import { createHomeRegionIndex } from "../entry-selection/home-regions.js";
-import { errorFields, EventLevel, type EventLog } from "../event-log/event-log.js";
+import { errorFields, EventLevel } from "../event-log/event-log.js";
 import { createChangeFeed, feedValuesRequestSchema } from "../feed/change-feed.js";
 import { createFeedServer } from "../feed/serve-feed.js";
 import { createFormation, JOIN_REQUEST_KIND, LEAVE_REQUEST_KIND } from "../formation/formation.js";
@@ -41,6 +33,7 @@
 import { createCatalogGroup } from "./catalog-group.js";
 import { catchUpWithCatalog } from "./catch-up.js";
 import { type EvacuationOrder, submitEvacuation } from "./evacuation-orders.js";
+import type { GatewayControl, GatewayControlOptions } from "./gateway-control.js";
 import { createMemberConnectivity } from "./member-connectivity.js";
 import {
     ControlRequestKind,
@@ -65,79 +58,6 @@
 /** Time for calls in progress after a stop has transferred the leadership, in milliseconds. A change takes less. */
 const STOP_CALLS_MS = 1_000;
 
-/** Dependencies and settings of a control instance. */
-export type GatewayControlOptions = {
-    readonly clock: Clock;
-    readonly counters: Counters;
-    readonly log: EventLog;
-    readonly random: () => number;
-    readonly address: string;
-    readonly peerPort: number;
-    /** How to wait for the peer port while it is in use. Default: the start fails at once. */
-    readonly addressWait?: AddressWait;
-    readonly availabilityZone: string;
-    readonly getRegion: (availabilityZone: string) => string;
-    /** All regions with callers. */
-    readonly regions: readonly string[];
-    readonly dataFolder: string;
-    /** True when the whole deployment is bootstrapped on empty disks. */
-    readonly isFirstStart: boolean;
-    /** Returns the addresses of some control instances from the current settings. */
-    readonly seedAddresses: () => readonly string[];
-    /** Target number of voters of the replicated catalog. */
-    readonly voterCount: number;
-    /** Interval at which backend servers send announcements, in milliseconds. */
-    readonly heartbeatMilliseconds: number;
-};
-
-/** A running control instance. */
-export type GatewayControl = {
-    /**
-     * Processes an announcement of a backend server.
-     *
-     * @returns False when it cannot be acknowledged, because too few control instances hold it.
-     */
-    receiveAnnouncement(announcement: BackendAnnouncement): Promise<boolean>;
-    /**
-     * Processes the departure of a backend server. Once acknowledged, it stays in force when all control instances
-     * restart.
-     *
-     * @param id Identifier of the backend server.
-     * @param startedAt Start time in Unix milliseconds, or `undefined` when the backend server did not send it.
-     * @returns False when it cannot be acknowledged, because too few control instances hold it or it is not stored.
-     */
-    receiveDeparture(id: string, startedAt: number | undefined): Promise<boolean>;
-    /**
-     * Changes items of the catalog.
-     *
-     * @returns The reason why the change is invalid, or `undefined` when it is accepted.
-     * @throws ItemTooLargeError when an item is too large to be stored.
-     * @throws CatalogUnavailableError when the outcome is unknown at the deadline.
-     */
-    changeItems(items: readonly Item[], deadlineMilliseconds: number): Promise<string | undefined>;
-    /**
-     * Sets whether an availability zone is evacuated, unless the caller has left.
-     *
-     * @param order.isCallerWaiting Returns false once the caller has closed its connection.
-     * @throws CallerLeftError when the caller has left before the order was submitted, otherwise as `changeItems`.
-     */
-    setEvacuation(order: EvacuationOrder, deadlineMilliseconds: number): Promise<void>;
-    /**
-     * Returns the items that are neither deleted nor evacuations, with all acknowledged changes. Throws as
-     * `changeItems`.
-     */
-    readItems(deadlineMilliseconds: number): Promise<readonly Item[]>;
-    /** Returns the entries that a caller in a region should use for a host. */
-    findEntries(host: string, callerRegion: string): readonly EntryReport[];
-    /** Returns the names of the voters that this instance knows. */
-    voters(): readonly string[];
-    /**
-     * Transfers the leadership if it is held here, gives up its place in the group if a successor has caught up, and
-     * stops. Calls in progress reject after 1 s, outcome unknown.
-     */
-    stop(): Promise<void>;
-};
-
 /** Starts a control instance. Resolves once it listens for its peers; the port also guards its data folder. */
 export async function startGatewayControl(options: GatewayControlOptions): Promise<GatewayControl> {
     const { clock, counters, log } = options;
