Record the members of the control group with each of its changes

An instance whose storage had closed could not pass a change on: "The control group gave no answer in time at submit", for as long as it was sent.

Cause: an instance stays connected to the members that it knew at the start of its last round.

The formation now gets each status of the replica, and with it each membership that takes effect, whatever a round is doing. This also holds for a follower whose storage closes between two rounds.

New: "An instance whose storage closes right after changes of the members stays connected to all of them". It failed with the members of the start of the round ("b, c" instead of "b, c, d, e").

--- a/packages/hyssopfront/src/formation/formation.feature
+++ b/packages/hyssopfront/src/formation/formation.feature
@@ -84,3 +84,12 @@
     When it is about to stop
     Then it has asked "b, c" to be replaced
     And after 5000 ms it has asked none to join
+
+  # Guards against a leader whose disk fails right after the group has grown, and which then never finds the next leader.
+  Scenario: An instance whose storage closes right after changes of the members stays connected to all of them
+    Given a leader of 3 voters
+    When "d" asks to join
+    And "e" asks to join
+    Then after 250 ms the changes are "addLearner d, addLearner e, promote d, promote e"
+    When the storage of the leader closes
+    Then after 250 ms it is connected to "b, c, d, e"
--- a/packages/hyssopfront/src/formation/formation.steps.ts
+++ b/packages/hyssopfront/src/formation/formation.steps.ts
@@ -7,6 +7,7 @@
     type MembershipRequest,
     type Replica,
     ReplicaRole,
+    type ReplicaStatus,
 } from "@hyssopfront/coordination";
 import assert from "node:assert/strict";
 import { createFormation, type Formation, JOIN_REQUEST_KIND, LEAVE_REQUEST_KIND } from "./formation.js";
@@ -23,6 +24,9 @@
 let laggingLearners: Set<string>;
 let changes: MembershipRequest[];
 let requests: { readonly name: string; readonly kind: string }[];
+/** Names to which the instance maintains connections. */
+let contacts: readonly string[];
+let isStorageOpen: boolean;
 let formation: Formation;
 let stopping = new AbortController();
 
@@ -40,13 +44,18 @@
     members = change.kind === MembershipChange.Remove
         ? others
         : [...others, { name: change.name, isVoter: change.kind === MembershipChange.Promote }];
+    formation.handleStatus(getStatus());
     return Promise.resolve();
 };
 
+/** The parts of the status of a leader that the formation uses. */
+const getStatus = () =>
+    ({ role: ReplicaRole.Leader, leader: SELF, members, matchIndex: {} }) as unknown as ReplicaStatus;
+
 /** The parts of a leading replica that the formation uses. */
 const createLeader = () =>
     ({
-        status: () => ({ role: ReplicaRole.Leader, leader: SELF, members, matchIndex: {} }),
+        status: getStatus,
         holdsLeaderLease: () => true,
         leaderlessForMilliseconds: () => 0,
         silentForMilliseconds: (name: string) => name === SELF ? undefined : silenceOf(name),
@@ -60,18 +69,22 @@
     laggingLearners = new Set();
     changes = [];
     requests = [];
+    contacts = [];
+    isStorageOpen = true;
     stopping = new AbortController();
     const replica = createLeader();
     formation = createFormation({
         clock,
         self: SELF,
-        replica: () => replica,
+        replica: () => isStorageOpen ? replica : undefined,
         peers: {
             call: (name, kind) => {
                 requests.push({ name, kind });
                 return Promise.resolve({ members: [] });
             },
-            maintainConnections: () => undefined,
+            maintainConnections: names => {
+                contacts = names;
+            },
             connected: () => members.map(({ name }) => name).filter(name => silenceOf(name) < SILENT_CONNECTION_MS),
             close: () => Promise.resolve(),
         },
@@ -79,6 +92,7 @@
         voterCount: VOTERS.length,
         onChange: () => undefined,
     });
+    formation.handleStatus(getStatus());
     void formation.run(stopping.signal);
 };
 
@@ -87,6 +101,7 @@
 const voters = VOTERS.map(name => ({ name, isVoter: true }));
 Given("a leader of 5 voters and no learner", () => start(voters));
 Given("a leader of 5 voters and the learner {string}", (name: string) => start([...voters, { name, isVoter: false }]));
+Given("a leader of 3 voters", () => start(voters.slice(0, 3)));
 Given("a replica that is not a member", () => start([]));
 Given("the learner {string} has not caught up", (name: string) => laggingLearners.add(name));
 
@@ -95,6 +110,10 @@
     members = [...members, { name, isVoter: false }];
 });
 When(/^the (?:voter|learner) "(.)" is silent$/, (name: string) => silentSince.set(name, clock.monotonicMilliseconds()));
+When("{string} asks to join", (name: string) => void formation.handleJoin(name));
+When("the storage of the leader closes", () => {
+    isStorageOpen = false;
+});
 When("the voter {string} is about to stop", (name: string) => formation.handleLeave(name));
 When("it is about to stop", async () => {
     requests = [];
@@ -106,6 +125,10 @@
     await clock.advance(milliseconds);
     assert.equal(changes.splice(0).map(({ kind, name }) => `${kind} ${name}`).join(", "), expected);
 });
+Then("after {int} ms it is connected to {string}", async (milliseconds: number, expected: string) => {
+    await clock.advance(milliseconds);
+    assert.equal([...contacts].sort().join(", "), expected);
+});
 Then("after {int} ms there is no change", async (milliseconds: number) => {
     await clock.advance(milliseconds);
     assert.deepEqual(changes, []);
--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -55,6 +55,8 @@
     handleJoin(name: string): { readonly leader: string | undefined; readonly members: readonly string[] };
     /** Handles the notice that the named instance is about to stop. */
     handleLeave(name: string): void;
+    /** Handles a status of the replica. Expects each one, as the storage may close at any time. */
+    handleStatus(status: ReplicaStatus): void;
     /**
      * Asks the other instances to let a learner that has caught up take the place of this one, which is about to stop,
      * and no longer joins the group. Without such a learner this instance stays a voter until it is back.
@@ -190,7 +192,6 @@
     const runRound = async () => {
         const replica = options.replica();
         const status = replica?.status();
-        knownMembers = status?.leader === undefined ? knownMembers : listMembers(status);
         peers.maintainConnections(listContacts(status).concat([...joinRequests.keys()]));
         if (replica === undefined || status === undefined) {
             return;
@@ -209,6 +210,9 @@
 
     return {
         handleLeave: name => void leaveRequests.set(name, clock.monotonicMilliseconds()),
+        handleStatus: status => {
+            knownMembers = status.leader === undefined ? knownMembers : listMembers(status);
+        },
         leave: async () => {
             isLeaving = true;
             const contacts = listContacts(options.replica()?.status());
--- a/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/catalog-cluster.steps.ts
@@ -120,7 +120,7 @@
             peers,
             isGrowing: () => formation.isGrowing(),
             observer: { onItems: items => void observed.push(...items), onDepartures: () => undefined },
-            onStatus: () => undefined,
+            onStatus: status => formation.handleStatus(status),
         });
         const formation = createFormation({
             clock,
--- a/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
+++ b/packages/hyssopfront/src/gateway-control/start-gateway-control.ts
@@ -152,6 +152,7 @@
                 }),
         },
         onStatus: status => {
+            formation.handleStatus(status);
             const names = status.members.map(member => member.name);
             if (names.length > 0 && names.join() !== members.join()) {
                 members = names;
