--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.feature
@@ -54,3 +54,18 @@
       | role     |
       | leader   |
       | follower |
+
+  # Guards against a replacement that a cut of the group prevents for good, so that the stopped voter still counts.
+  Scenario Outline: Two disks are lost 4 s after the end of a cut in which an instance replaces a stopped <role>
+    Given 5 instances that start for the first time
+    And all of them are voters
+    When an instance with an empty disk is added, and a <role> is stopped while <cut> are cut off for 3000 ms
+    And 4000 ms later the leader and the voter with the most entries lose their disks while all instances are killed
+    Then the change is read and further ones are acknowledged
+
+    Examples:
+      | role     | cut                            |
+      | leader   | two voters                     |
+      | follower | two voters                     |
+      | leader   | a voter and the added instance |
+      | follower | a voter and the added instance |
--- a/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
+++ b/packages/hyssopfront/src/gateway-control/full-disks/disk-losses.steps.ts
@@ -7,6 +7,8 @@
 
 /** Time within which the first change must be acknowledged at all, in milliseconds; traffic starts then. */
 const FIRST_CHANGE_MS = 10_000;
+/** Time for which an added instance runs before the group is cut, in milliseconds. */
+const JOINING_MS = 1_000;
 
 let cluster: CatalogCluster;
 let operator: Operator;
@@ -59,6 +61,20 @@
         await instance.leave();
     },
 );
+When(
+    /^an instance with an empty disk is added, and a (\w+) is stopped while (.+) are cut off for (\d+) ms$/,
+    async (role: string, cut: string, milliseconds: string) => {
+        const stopped = await findInstance(cluster, role);
+        const others = [...cluster.instances.values()].filter(instance => instance !== stopped);
+        const added = addInstance();
+        await clock.sleep(JOINING_MS);
+        const isolated = cut === "two voters" ? others.slice(-2) : [...others.slice(-1), added];
+        isolated.forEach(({ name }) => cluster.setCut(name, true));
+        await stopped.leave();
+        await clock.sleep(Number(milliseconds));
+        isolated.forEach(({ name }) => cluster.setCut(name, false));
+    },
+);
 When("{int} ms pass", (milliseconds: number) => clock.sleep(milliseconds));
 
 const loseDisks = async () => {
