Let other tasks run while a batch of log entries is applied

Lookups and heartbeats waited while the parts of a long change were decoded and applied: up to 256 entries or 4 MiB were applied in one turn of the event loop.

The applier now yields after each 4 ms of work, between entries.

"Other tasks run while many entries are applied" failed before (100 entries in one turn, at most 2 are allowed).

--- a/packages/coordination/src/consensus/applier.ts
+++ b/packages/coordination/src/consensus/applier.ts
@@ -6,11 +6,13 @@
 import * as contexts from "./context.js";
 import { becomeFollower } from "./leadership.js";
 import { decodeSnapshotPayload, encodeSnapshotPayload, entryContent, EntryType, entryType } from "./payloads.js";
-import { waitUntil } from "./waiting.js";
+import { waitUntil, yieldToOtherTasks } from "./waiting.js";
 
-/** These limits bound the memory of one batch and the time for which it blocks the event loop. */
+/** These limits bound the memory of one batch. */
 const APPLY_BATCH_ENTRIES = 256;
 const APPLY_BATCH_BYTES = 4 * 1024 * 1024;
+/** Time for which entries are applied in one turn of the event loop, in milliseconds; one entry may exceed it. */
+const APPLY_STEP_MS = 4;
 
 /** Applies entries to the state machine as they are committed, until the replica stops. */
 export async function runApplier(context: ReplicaContext): Promise<void> {
@@ -26,7 +28,14 @@
     const from = context.appliedIndex + 1;
     const to = Math.min(context.commitIndex + 1, from + APPLY_BATCH_ENTRIES);
     const entries = from < to ? await context.storage.read(from, to, APPLY_BATCH_BYTES) : [];
-    entries.forEach(entry => applyEntry(context, entry));
+    let stepEndsAt = contexts.now(context) + APPLY_STEP_MS;
+    for (const entry of entries) {
+        if (contexts.now(context) >= stepEndsAt) {
+            await yieldToOtherTasks();
+            stepEndsAt = contexts.now(context) + APPLY_STEP_MS;
+        }
+        applyEntry(context, entry);
+    }
     context.applied.notify();
 }
 
--- a/packages/coordination/src/consensus/single-replica.feature
+++ b/packages/coordination/src/consensus/single-replica.feature
@@ -27,6 +27,13 @@
     When it is elected and its peers have the log up to index 2001 only
     Then it has applied index 2001 and read at most 5000 entries in all
 
+  # Guards against lookups and heartbeats that wait while a long change, or a log after a restart, is applied.
+  Scenario: Other tasks run while many entries are applied
+    Given a replica whose log ends at index 100 of term 2
+    And applying an entry takes 3 ms
+    When it is elected and its peers have the log up to index 101 only
+    Then it has applied 100 entries, at most 2 in one turn of the event loop
+
   Scenario: A message of another group or with an invalid schema is rejected
     Given a replica whose log ends at index 3 of term 2
     Then a message of another group is rejected
--- a/packages/coordination/src/consensus/single-replica.steps.ts
+++ b/packages/coordination/src/consensus/single-replica.steps.ts
@@ -18,6 +18,11 @@
 let peerIndex: number;
 let reply: ConsensusReply;
 let entriesRead: number;
+/** Time that applying an entry takes, and that it has taken in all, in milliseconds. */
+let applyMilliseconds: number;
+let appliedMilliseconds: number;
+/** Number of entries that were applied in each turn of the event loop. */
+let entriesInTurns: number[];
 
 const replyAsPeer = async (peer: string, message: ConsensusRequest): Promise<ConsensusReply> => {
     const storeId = `store-${peer}`;
@@ -36,7 +41,19 @@
     throw new Error(`Unexpected message ${message.kind}.`);
 };
 
+/** Takes its time, and counts the entries that are applied in the current turn of the event loop. */
+const applySlowly = () => {
+    appliedMilliseconds += applyMilliseconds;
+    if (entriesInTurns.at(-1) === 0) {
+        setImmediate(() => entriesInTurns.push(0));
+    }
+    entriesInTurns[entriesInTurns.length - 1]! += 1;
+};
+
 const start = async () => {
+    applyMilliseconds = 0;
+    appliedMilliseconds = 0;
+    entriesInTurns = [0];
     const storage = openSimulatedStorage(disk, clock, () => 0);
     crash = storage.crash;
     entriesRead = 0;
@@ -48,12 +65,12 @@
     replica = createReplica({
         groupId: "group",
         self: "a",
-        clock,
+        clock: { ...clock, monotonicMilliseconds: () => clock.monotonicMilliseconds() + appliedMilliseconds },
         random: () => 0,
         storage: Object.create(storage, { read: { value: read } }) as typeof storage,
         initialVoters: ["a", "b", "c"].map(name => ({ name, storeId: `store-${name}` })),
         call: replyAsPeer,
-        apply: () => undefined,
+        apply: applySlowly,
         takeSnapshot: () => new Uint8Array(),
         restoreSnapshot: () => undefined,
     });
@@ -103,6 +120,10 @@
     await start();
 });
 
+Given("applying an entry takes {int} ms", (milliseconds: number) => {
+    applyMilliseconds = milliseconds;
+});
+
 When("{string} requests its vote in term {int}", async (candidate: string, term: number) => {
     reply = await requestVote(candidate, term, 3, 2);
 });
@@ -164,6 +185,15 @@
     assert.ok(entriesRead <= limit, `${entriesRead} entries were read.`);
 });
 
+Then(
+    "it has applied {int} entries, at most {int} in one turn of the event loop",
+    async (count: number, limit: number) => {
+        await advanceUntilDone(replica.readBarrier());
+        assert.equal(entriesInTurns.reduce((sum, entries) => sum + entries, 0), count);
+        assert.ok(Math.max(...entriesInTurns) <= limit, `${entriesInTurns.join()} entries were applied in turns.`);
+    },
+);
+
 Then("a message of another group is rejected", async () => {
     const message = { kind: ConsensusMessageKind.Identify, groupId: "other" } as const;
     await assert.rejects(replica.handle("b", message), /belongs to group group/);
--- a/packages/coordination/src/consensus/waiting.ts
+++ b/packages/coordination/src/consensus/waiting.ts
@@ -1,5 +1,5 @@
 /**
- * Synchronization of asynchronous tasks: mutual exclusion, notification and interruptible waiting.
+ * Synchronization of asynchronous tasks: mutual exclusion, notification, yielding and interruptible waiting.
  */
 import { setMaxListeners } from "node:events";
 import type { Clock } from "../clock/clock.js";
@@ -44,6 +44,9 @@
     };
 }
 
+/** Resolves in a later turn of the event loop, after what has arrived meanwhile is handled. */
+export const yieldToOtherTasks = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
 /**
  * Waits for the duration, the next notification or the abort of the signal, whichever comes first. The returned promise
  * never rejects.
