--- a/packages/hyssopfront/src/formation/formation.ts
+++ b/packages/hyssopfront/src/formation/formation.ts
@@ -114,8 +114,7 @@
         return [...joinRequests].find(([name, at]) => !isKnown(name) && now - at < REQUEST_LIFETIME_MS)?.[0];
     };
     const isAboutToStop = ({ name }: Member) =>
-        name !== self
-        && clock.monotonicMilliseconds() - (leaveRequests.get(name) ?? -Infinity) < REQUEST_LIFETIME_MS;
+        clock.monotonicMilliseconds() - (leaveRequests.get(name) ?? -Infinity) < REQUEST_LIFETIME_MS;
     /** Milliseconds for which another member has not responded to this leader. */
     const silenceOf = (replica: Replica, { name }: Member) => replica.silentForMilliseconds(name) ?? 0;
     const isReplaceable = (replica: Replica, member: Member) =>
