--- a/packages/hyssopfront/src/http/parse-json.ts
+++ b/packages/hyssopfront/src/http/parse-json.ts
@@ -14,11 +14,19 @@
     if (typeof value === "number" && !Number.isFinite(value)) {
         throw new JsonError("A number is too large.");
     }
-    if (value instanceof Object) {
-        if (depth >= MAXIMUM_JSON_NESTING) {
-            throw new JsonError(`Collections are nested more than ${MAXIMUM_JSON_NESTING} deep.`);
-        }
-        Object.values(value).forEach(inner => checkValue(inner, depth + 1));
+    if (!(value instanceof Object)) {
+        return;
+    }
+    if (depth >= MAXIMUM_JSON_NESTING) {
+        throw new JsonError(`Collections are nested more than ${MAXIMUM_JSON_NESTING} deep.`);
+    }
+    if (Array.isArray(value)) {
+        value.forEach(inner => checkValue(inner, depth + 1));
+        return;
+    }
+    // Object.values would copy each object, which takes most of the time for a configuration of thousands of routes.
+    for (const key in value) {
+        checkValue((value as Readonly<Record<string, unknown>>)[key], depth + 1);
     }
 }
 
