--- a/review/stand-ins-3/harness.mjs
+++ b/review/stand-ins-3/harness.mjs
@@ -214,7 +214,7 @@
         );
 
     /** Sends an order to one instance after the other until it has a clear answer. */
-    const order = async (operation, body, { target = "", timeoutMilliseconds = 20_000 } = {}) => {
+    const order = async (operation, content, { target = "", timeoutMilliseconds = 20_000, body } = {}) => {
         const endsAt = Date.now() + timeoutMilliseconds;
         for (let attempt = 0; Date.now() < endsAt; attempt += 1) {
             const addresses = controlAddresses();
@@ -224,7 +224,7 @@
                 method: "POST",
                 path: `/v1/rpc?call=${operation}${target === "" ? "" : `&of=${target}`}`,
                 headers: { "content-type": "application/json" },
-                body: body === undefined ? undefined : JSON.stringify(body),
+                body: body ?? (content === undefined ? undefined : JSON.stringify(content)),
                 timeout: 2_500,
             });
             if (status >= 200 && status < 500 && status !== 408 && status !== 429) {
