--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/stand-ins-3/harness.mjs
+++ b/review/stand-ins-3/harness.mjs
@@ -266,8 +266,10 @@
             server.listen(port, address, resolve);
         });
         upstream.port = server.address().port;
-        const beat = async () => {
+        /** Creates a heartbeat with the state of this moment, which is sent later. */
+        const prepareBeat = () => {
             upstream.sequence += 1;
+            const { sequence } = upstream;
             const body = JSON.stringify({
                 service,
                 address: `${address}:${upstream.port}`,
@@ -276,27 +278,33 @@
                 slots,
                 state: upstream.state,
                 cold_remaining_ms: 0,
-                seq: upstream.sequence,
+                seq: sequence,
                 born: upstream.born,
             });
-            const addresses = controlAddresses();
-            const first = Math.floor(Math.random() * addresses.length);
-            for (let attempt = 0; attempt < addresses.length; attempt += 1) {
-                const { status } = await call({
-                    address: addresses[(first + attempt) % addresses.length],
-                    port: controlPort,
-                    method: "POST",
-                    path: `/v1/rpc?call=instances.heartbeat&of=${id}`,
-                    headers: { "content-type": "application/json" },
-                    body,
-                    timeout: ACKNOWLEDGEMENT_TIMEOUT_MS,
-                });
-                if (status >= 200 && status < 300) {
-                    return true;
+            /** Resolves with true once an instance has acknowledged it. */
+            const send = async () => {
+                const addresses = controlAddresses();
+                const first = Math.floor(Math.random() * addresses.length);
+                for (let attempt = 0; attempt < addresses.length; attempt += 1) {
+                    const { status } = await call({
+                        address: addresses[(first + attempt) % addresses.length],
+                        port: controlPort,
+                        method: "POST",
+                        path: `/v1/rpc?call=instances.heartbeat&of=${id}`,
+                        headers: { "content-type": "application/json" },
+                        body,
+                        timeout: ACKNOWLEDGEMENT_TIMEOUT_MS,
+                    });
+                    if (status >= 200 && status < 300) {
+                        return true;
+                    }
                 }
-            }
-            return false;
+                return false;
+            };
+            return { sequence, send };
         };
+        const beat = () => prepareBeat().send();
+        upstream.prepareBeat = prepareBeat;
         upstream.beat = beat;
         const timer = setInterval(() => upstream.isSending && void beat(), HEARTBEAT_MS);
         closers.push(() => clearInterval(timer));
