--- a/review/stand-ins-3/harness.mjs
+++ b/review/stand-ins-3/harness.mjs
@@ -1,6 +1,6 @@
 /**
  * Starts the programs of the deploy file as separate processes on loopback addresses, with stand-ins for the platform,
- * the operator and the upstreams. Used by the cases 11 to 15.
+ * the operator and the upstreams. Used by cases 11 to 15.
  */
 import { Buffer } from "node:buffer";
 import { spawn } from "node:child_process";
