--- a/review/stand-ins-3/harness.mjs
+++ b/review/stand-ins-3/harness.mjs
@@ -92,6 +92,9 @@
     const failToRun = error => finish(COULD_NOT_RUN, `could not run: ${error?.stack ?? error}`);
     process.on("uncaughtException", failToRun);
     process.on("unhandledRejection", failToRun);
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal =>
+        process.on(signal, () => finish(COULD_NOT_RUN, `could not run: ended by ${signal}`))
+    );
 
     const settings = ({ name, address, role, index, isFirstStart, memoryMegabytes }) => `
 [self]
