--- a/review/stand-ins-3/harness.mjs
+++ b/review/stand-ins-3/harness.mjs
@@ -26,14 +26,14 @@
 /** False if the script runs without its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
-/** Returns ports that are free on all loopback addresses. */
-async function findFreePorts(count) {
+/** Returns ports that are free on a loopback address of the network that the case uses. */
+async function findFreePorts(count, address) {
     const servers = await Promise.all(
         Array.from({ length: count }, () =>
             new Promise((resolve, reject) => {
                 const server = createTcpServer();
                 server.once("error", reject);
-                server.listen(0, "0.0.0.0", () => resolve(server));
+                server.listen(0, address, () => resolve(server));
             })),
     );
     const ports = servers.map(server => server.address().port);
@@ -62,8 +62,8 @@
     const children = new Map();
     const closers = [];
     const work = mkdtempSync(join(tmpdir(), "hyssopfront-review-"));
-    const [frontPort, readyPort, controlPort, directoryPort, peerPort] = await findFreePorts(5);
     const network = `127.${10 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
+    const [frontPort, readyPort, controlPort, directoryPort, peerPort] = await findFreePorts(5, `${network}.1`);
     const zoneNames = Object.keys(ZONES);
 
     let isFinished = false;
